--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,707 @@
+// Every decision of the governor, every tuned value and all decision state.
+//
+// How to call it: the interface is rules.h. Construct a Governor when an instance starts, then call the
+// method named for each thing that happens, with the time; it orders through the Host before it returns.
+//
+// How to read it: a list or a sum only changes what is known; `round` runs on a timer, judges the breakers,
+// steps the weights and hands the tables to `publish`, which sends what differs. What must not wait (drains,
+// trips, a proxy without a table) goes out at once. The order of the file is: figures, state, the breaker,
+// the tables, the channel, the events.
+
+#include "rules.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+namespace ospreypost {
+namespace {
+
+using namespace std::chrono_literals;
+
+// --- Figures. Those of the source keep its names; docs/design.md says why each differs from its default.
+
+constexpr double kFloor = 0.2;        // share of the listed weight on return
+constexpr double kAnchor = 2.0;       // the one doubling
+constexpr Nanos kCooldown = 2s;       // first withdrawal, doubling per repeat
+constexpr Nanos kCooldownCap = 20s;   //
+constexpr Nanos kConfirmWindow = 4s;  // clean this long, with sound evidence, closes
+constexpr Nanos kClimb = 2 * kConfirmWindow;
+constexpr double kSoundTries = 4;      // good tries since the return that make the evidence sound
+constexpr double kTripShare = 0.4;     // of the tries must fail, above what the others meet
+constexpr double kTripFailures = 4;    // and at least so many: two unlucky tries trip nothing
+constexpr double kRetripFailures = 2;  // half-open is on trial: fewer do
+constexpr double kMostOut = 0.34;      // of listed weight that breakers may hold out at once
+constexpr Nanos kEvidenceHalfLife = 2s;
+constexpr Nanos kLoadHalfLife = 2s;
+constexpr Nanos kDemandHalfLife = 4s;
+constexpr Nanos kStepEvery = 3s;                    // load steps
+constexpr double kStepBand = 0.2;                   // off the mean before a step is taken
+constexpr double kStepMost = 1.25;                  // one step at the most
+constexpr double kStepLeast = 0.4, kStepTop = 2.0;  // of the listed weight
+constexpr double kLocalSlack = 0.15;       // a zone may run this far above the mean load before it spills
+constexpr double kWorthSending = 0.08;     // relative change of a line below which it is not sent
+constexpr double kSmallestSpill = 0.03;    // a thinner flow into a zone costs connections for nothing
+constexpr double kChannelShare = 0.5;      // of the stated pace and limit that we count on
+constexpr double kOrdinaryMessages = 0.7;  // of the messages allowed; the rest is kept for what cannot wait
+
+constexpr TimerId kRoundTimer{1}, kWatchTimer{2};
+
+double seconds(Nanos time) { return std::chrono::duration<double>(time).count(); }
+
+class DecayingSum {
+ public:
+  explicit DecayingSum(Nanos half_life) : half_life_(half_life) {}
+  void add(Nanos now, double amount) { value_ = read(now) + amount, at_ = now; }
+  double read(Nanos now) const { return value_ * std::exp2(-seconds(now - at_) / seconds(half_life_)); }
+  void clear() { value_ = 0; }
+
+ private:
+  Nanos half_life_, at_{};
+  double value_ = 0;
+};
+
+enum class Breaker { closed, open, half_open };
+
+struct Replica {
+  ZoneId zone{};
+  KindId kind{};
+  double listed = 1;
+  Phase phase = Phase::ready;
+  std::optional<Nanos> started;
+
+  Breaker breaker = Breaker::closed;
+  Nanos cooldown = kCooldown;  // of the next trip
+  Nanos reopens{};             // while open
+  Nanos returned{};            // when half-open began
+  Nanos window_ends{};
+  Nanos proven_until{};           // a trip before then is a repeat, closed or not
+  std::optional<Nanos> anchored;  // when the doubling came; the climb counts from it
+  double sound_tries = 0;         // since the return
+  double step = 1;
+
+  DecayingSum tries{kEvidenceHalfLife}, failed{kEvidenceHalfLife};
+  DecayingSum time_sum{kLoadHalfLife}, time_count{kLoadHalfLife};
+  DecayingSum load_sum{kLoadHalfLife}, load_count{kLoadHalfLife};
+  Nanos evidence_from{};  // sums that came earlier speak of another life
+
+  bool withdrawn = false;  // as ordered
+};
+
+struct Proxy {
+  ZoneId zone{};
+  bool bound = false;
+};
+
+// Classes that may go to the same replicas share a table in each zone.
+struct Group {
+  ClassMask classes = 0;
+  bool home_only = false;
+  std::vector<ZoneId> zones;
+  std::vector<KindId> kinds;
+  std::vector<DecayingSum> demand;  // by zone of the proxies, in work as far as it can be told
+};
+
+using Lines = std::map<ReplicaId, double>;
+
+std::string name(ReplicaId id) { return "replica " + std::to_string(static_cast<std::uint32_t>(id)); }
+
+}  // namespace
+
+struct Governor::State {
+  State(const Settings& settings, std::uint64_t seed, Nanos now, Host& to);
+
+  // The breaker.
+  void judge(Nanos now);
+  bool may_trip(const Replica& replica) const;
+  void trip(Nanos now, ReplicaId id, Replica& replica);
+  void half_open(Nanos now, ReplicaId id, Replica& replica);
+  void keep_served(Nanos now);
+  void forget_evidence(Nanos now, Replica& replica) const;
+  double share(Nanos now, const Replica& replica) const;
+  void step_loads(Nanos now);
+  double load_of(Nanos now, const Replica& replica) const;
+
+  // The tables.
+  bool serves(const Replica& replica) const;
+  bool open_to(const Group& group, std::size_t zone, const Replica& replica) const;
+  std::vector<Lines> compose(Nanos now) const;
+  TableId table(std::size_t zone, std::size_t group) const;
+
+  // The channel.
+  double waiting(Nanos now);
+  bool may_send(Nanos now, double lines, bool urgent);
+  void sent(Nanos now, double lines);
+  void publish(Nanos now, bool urgent);
+  void bind(Nanos now);
+  void round(Nanos now);
+  void take_entry(Nanos now, const ListEntry& entry, bool at_start);
+
+  Host& host;
+  std::mt19937 chance;
+  const bool tables_are_ours;  // without slices
+  const bool asks_for_list, only_draining_binds;
+  const std::size_t zones;
+  const Nanos round_every, publish_every, message_time, sums_lag;
+  const double lines_per_second, most_waiting, head;
+  const std::size_t messages_allowed;
+  const Nanos messages_window;
+  const double cold_share;
+  const Nanos cold_time;
+  std::vector<double> class_work;
+  std::vector<std::size_t> class_group;
+  std::optional<std::size_t> load_column;
+  bool load_is_per_size = false;
+  std::vector<Group> groups;
+
+  std::map<ReplicaId, Replica> replicas;
+  std::map<ProxyId, Proxy> proxies;
+  std::vector<Lines> standing;  // as ordered, by table
+  Nanos next_publish{}, next_step{};
+  std::deque<Nanos> messages;  // when orders went to all, within the window
+  double queued = 0;           // lines we believe to wait
+  Nanos queued_at{};
+  bool hurry = false;
+  int list_failures = 0;
+};
+
+Governor::State::State(const Settings& s, std::uint64_t seed, Nanos now, Host& to)
+    : host(to),
+      chance(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))),
+      tables_are_ours(s.slices == 0),
+      asks_for_list(s.list_by_asking),
+      only_draining_binds(s.only_draining_binds),
+      zones(std::max<std::size_t>(s.zones, 1)),
+      round_every(std::max<Nanos>(s.report_every / 2, 100ms)),
+      publish_every(std::max<Nanos>(
+          s.report_every, s.messages_allowed == 0
+                              ? Nanos{}
+                              : Nanos(static_cast<Nanos::rep>(s.messages_window.count() /
+                                                              (kOrdinaryMessages * s.messages_allowed))))),
+      message_time(s.message_time),
+      sums_lag(s.report_every + s.message_time),
+      lines_per_second(std::max(1.0, s.channel_lines_per_second * kChannelShare)),
+      most_waiting(s.channel_most_waiting),
+      head(s.message_head_lines),
+      messages_allowed(s.messages_allowed),
+      messages_window(s.messages_window),
+      cold_share(std::clamp(s.cold_share, 0.01, 1.0)),
+      cold_time(std::max<Nanos>(s.cold_time, 1ms)),
+      next_publish(now),
+      next_step(now + kStepEvery),
+      queued_at(now) {
+  for (const auto& cls : s.classes) {
+    // Nobody tells the work of a class; those who ask allow more time for what takes longer.
+    class_work.push_back(std::max(1e-3, seconds(cls.target_time)));
+    const auto same = [&](const Group& group) {
+      return group.home_only == cls.home_only && group.zones == cls.only_zones &&
+             group.kinds == cls.only_kinds;
+    };
+    auto at = std::find_if(groups.begin(), groups.end(), same);
+    if (at == groups.end()) {
+      groups.push_back({0, cls.home_only, cls.only_zones, cls.only_kinds,
+                        std::vector<DecayingSum>(zones, DecayingSum{kDemandHalfLife})});
+      at = groups.end() - 1;
+    }
+    at->classes = static_cast<ClassMask>(at->classes | (1u << (class_work.size() - 1)));
+    class_group.push_back(static_cast<std::size_t>(at - groups.begin()));
+  }
+  for (const auto wanted : {LoadColumn::util, LoadColumn::inflight, LoadColumn::queue}) {
+    const auto at = std::find(s.load_columns.begin(), s.load_columns.end(), wanted);
+    if (load_column || at == s.load_columns.end() || s.reporting != Reporting::in_sums) continue;
+    load_column = static_cast<std::size_t>(at - s.load_columns.begin());
+    load_is_per_size = wanted != LoadColumn::util;
+  }
+  standing.resize(zones * groups.size());
+  if (asks_for_list) host.watch_list(true);
+  host.arm(round_every, kRoundTimer);
+}
+
+// --- The breaker
+
+bool Governor::State::serves(const Replica& replica) const {
+  return replica.phase == Phase::ready && replica.breaker != Breaker::open;
+}
+
+// Sums that reach us now were counted before the change that we answer them for.
+void Governor::State::forget_evidence(Nanos now, Replica& replica) const {
+  for (auto* sum : {&replica.tries, &replica.failed, &replica.time_sum, &replica.time_count,
+                    &replica.load_sum, &replica.load_count}) {
+    sum->clear();
+  }
+  replica.sound_tries = 0;
+  replica.evidence_from = now + sums_lag;
+}
+
+// Guards against many trips at once when all are slow together or a fault strikes widely: what is left would
+// be crushed. Also keeps every group of classes a replica, in every zone that may use it.
+bool Governor::State::may_trip(const Replica& replica) const {
+  double listed = 0, out = replica.listed;
+  for (const auto& [id, other] : replicas) {
+    if (other.phase != Phase::ready) continue;
+    listed += other.listed;
+    if (other.breaker == Breaker::open) out += other.listed;
+  }
+  if (out > kMostOut * listed) return false;
+  for (const auto& group : groups) {
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+      if (!open_to(group, zone, replica)) continue;
+      const bool other_left = std::any_of(replicas.begin(), replicas.end(), [&](const auto& other) {
+        return &other.second != &replica && serves(other.second) && open_to(group, zone, other.second);
+      });
+      if (!other_left) return false;
+    }
+  }
+  return true;
+}
+
+void Governor::State::trip(Nanos now, ReplicaId id, Replica& replica) {
+  // A replica that fails soon after it closed has not recovered: its cooldown goes on doubling.
+  const bool repeat = replica.breaker == Breaker::half_open || now < replica.proven_until;
+  replica.cooldown = repeat ? std::min(2 * replica.cooldown, kCooldownCap) : kCooldown;
+  replica.breaker = Breaker::open;
+  replica.reopens = now + replica.cooldown;
+  host.log("trip " + name(id) + " for " + std::to_string(replica.cooldown / 1ms) + " ms");
+  hurry = true;
+}
+
+void Governor::State::half_open(Nanos now, ReplicaId id, Replica& replica) {
+  replica.breaker = Breaker::half_open;
+  replica.returned = now;
+  replica.window_ends = now + kConfirmWindow;
+  replica.anchored.reset();
+  forget_evidence(now, replica);
+  host.log("half-open " + name(id));
+}
+
+void Governor::State::judge(Nanos now) {
+  double all_tries = 0, all_failed = 0;
+  for (const auto& [id, replica] : replicas) {
+    if (!serves(replica)) continue;
+    all_tries += replica.tries.read(now);
+    all_failed += replica.failed.read(now);
+  }
+  for (auto& [id, replica] : replicas) {
+    if (replica.phase != Phase::ready) continue;
+    if (replica.breaker == Breaker::open) {
+      if (now >= replica.reopens) half_open(now, id, replica);
+      continue;
+    }
+    const double tries = replica.tries.read(now), failed = replica.failed.read(now);
+    // Against overload looking like sickness: what fails everywhere is no replica's own fault.
+    const double others = (all_failed - failed) / std::max(1.0, all_tries - tries);
+    const bool on_trial = replica.breaker == Breaker::half_open;
+    const bool failing =
+        failed > tries * (kTripShare + others) && failed >= (on_trial ? kRetripFailures : kTripFailures);
+    if (failing && may_trip(replica)) {
+      trip(now, id, replica);
+      continue;
+    }
+    if (!on_trial || failing) continue;
+    const bool sound = replica.sound_tries >= kSoundTries;
+    if (sound && !replica.anchored) replica.anchored = now;
+    if (now < replica.window_ends) continue;
+    if (sound) {
+      replica.breaker = Breaker::closed;
+      replica.proven_until = now + kClimb + kConfirmWindow;
+      host.log("close " + name(id));
+    } else {
+      replica.window_ends = now + kConfirmWindow;
+    }
+  }
+}
+
+// The part of its listed weight that a replica is given: the ratchet, and for a cold one never more than the
+// capacity it is sure to have by now, so that every table together brings it no more than a warm one its
+// load.
+double Governor::State::share(Nanos now, const Replica& replica) const {
+  double part = 1;
+  if (replica.anchored) {
+    const double climbed = seconds(now - *replica.anchored) / seconds(kClimb);
+    part = std::min(1.0, kFloor * kAnchor + (1 - kFloor * kAnchor) * climbed);
+  } else if (replica.breaker == Breaker::half_open) {
+    part = kFloor;
+  }
+  if (replica.started && now < *replica.started + cold_time) {
+    const double age = std::max(0.0, seconds(now - *replica.started) / seconds(cold_time));
+    part = std::min(part, cold_share + (1 - cold_share) * age);
+  }
+  return part;
+}
+
+double Governor::State::load_of(Nanos now, const Replica& replica) const {
+  const auto& sum = load_column ? replica.load_sum : replica.time_sum;
+  const auto& count = load_column ? replica.load_count : replica.time_count;
+  if (count.read(now) < 0.2) return -1;
+  const double mean = sum.read(now) / count.read(now);
+  return load_is_per_size ? mean / std::max(1e-6, replica.listed) : mean;
+}
+
+void Governor::State::step_loads(Nanos now) {
+  if (now < next_step) return;
+  next_step = now + kStepEvery;
+  double sum = 0, count = 0;
+  for (const auto& [id, replica] : replicas) {
+    const double load = load_of(now, replica);
+    if (replica.phase != Phase::ready || replica.breaker != Breaker::closed || load < 0) continue;
+    sum += load, count += 1;
+  }
+  if (count < 2) return;
+  const double mean = sum / count;
+  for (auto& [id, replica] : replicas) {
+    const double load = load_of(now, replica);
+    if (replica.phase != Phase::ready || replica.breaker != Breaker::closed || load < 0) continue;
+    if (std::abs(load - mean) <= kStepBand * mean) continue;
+    const double factor = std::clamp(std::sqrt(mean / std::max(load, 1e-6)), 1 / kStepMost, kStepMost);
+    replica.step = std::clamp(replica.step * factor, kStepLeast, kStepTop);
+  }
+}
+
+// --- The tables
+
+TableId Governor::State::table(std::size_t zone, std::size_t group) const {
+  return TableId{static_cast<std::uint16_t>(zone * groups.size() + group)};
+}
+
+bool Governor::State::open_to(const Group& group, std::size_t zone, const Replica& replica) const {
+  const auto has = [](const auto& list, auto id) {
+    return list.empty() || std::find(list.begin(), list.end(), id) != list.end();
+  };
+  if (group.home_only && static_cast<std::size_t>(replica.zone) != zone) return false;
+  return has(group.zones, replica.zone) && has(group.kinds, replica.kind);
+}
+
+// Whom a table serves is ours to settle: each zone's proxies keep to their own zone as far as it has room,
+// and what is over goes where room is left. Room is judged against the mean load of all, so a zone full of
+// cold or withdrawn replicas spills and a quiet one takes more. Groups with the fewest zones to choose from
+// go first.
+std::vector<Lines> Governor::State::compose(Nanos now) const {
+  std::vector<double> room(zones, 0.0);
+  double demand = 0, capacity = 0;
+  for (const auto& [id, replica] : replicas) {
+    if (!serves(replica) || static_cast<std::size_t>(replica.zone) >= zones) continue;
+    const double weight = replica.listed * replica.step * share(now, replica);
+    room[static_cast<std::size_t>(replica.zone)] += weight;
+    capacity += weight;
+  }
+  for (const auto& group : groups) {
+    for (const auto& zone_demand : group.demand) demand += zone_demand.read(now);
+  }
+  for (auto& zone_room : room) zone_room *= (1 + kLocalSlack) * demand / std::max(1e-9, capacity);
+
+  std::vector<std::size_t> order(groups.size());
+  for (std::size_t g = 0; g < order.size(); ++g) order[g] = g;
+  std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    const auto choice = [&](const Group& group) {
+      return group.home_only ? 1 : group.zones.empty() ? zones : group.zones.size();
+    };
+    return choice(groups[a]) < choice(groups[b]);
+  });
+
+  std::vector<Lines> lines(standing.size());
+  for (const auto g : order) {
+    const auto& group = groups[g];
+    // What this group may use of each zone, by the zone of the proxies.
+    const auto usable = [&](std::size_t from, std::size_t to) {
+      double weight = 0;
+      for (const auto& [id, replica] : replicas) {
+        if (static_cast<std::size_t>(replica.zone) != to || !serves(replica)) continue;
+        if (open_to(group, from, replica)) weight += replica.listed * replica.step * share(now, replica);
+      }
+      return weight;
+    };
+    std::vector<double> left(zones);
+    std::vector<std::vector<double>> flow(zones, std::vector<double>(zones, 0.0));
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+      left[zone] = std::max(1e-9, group.demand[zone].read(now));
+      if (usable(zone, zone) <= 0) continue;
+      flow[zone][zone] = std::min(left[zone], room[zone]);
+      room[zone] -= flow[zone][zone];
+    }
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+      const double over = left[zone] - flow[zone][zone];
+      std::vector<double> part(zones, 0.0);
+      double parts = 0;
+      for (std::size_t to = 0; to < zones; ++to) {
+        if (usable(zone, to) > 0 && to != zone) part[to] = room[to];
+        parts += part[to];
+      }
+      if (parts < over) {
+        // No room anywhere: all share the rest by what they can do.
+        const double short_of = over - parts;
+        double weights = 0;
+        for (std::size_t to = 0; to < zones; ++to) weights += usable(zone, to);
+        for (std::size_t to = 0; to < zones && weights > 0; ++to) {
+          flow[zone][to] += short_of * usable(zone, to) / weights;
+        }
+      }
+      for (std::size_t to = 0; to < zones && parts > 0; ++to) {
+        const double moved = std::min(over, parts) * part[to] / parts;
+        flow[zone][to] += moved;
+        room[to] -= moved;
+      }
+    }
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+      double sum = 0;
+      for (auto& part : flow[zone]) {
+        if (part < kSmallestSpill * left[zone]) part = 0;
+        sum += part;
+      }
+      if (sum <= 0) continue;
+      auto& table_lines = lines[static_cast<std::size_t>(table(zone, g))];
+      for (const auto& [id, replica] : replicas) {
+        const auto to = static_cast<std::size_t>(replica.zone);
+        if (!serves(replica) || to >= zones || flow[zone][to] <= 0 || !open_to(group, zone, replica))
+          continue;
+        const double weight = replica.listed * replica.step * share(now, replica);
+        table_lines[id] = weight * (flow[zone][to] / sum) * capacity / usable(zone, to);
+      }
+    }
+  }
+  return lines;
+}
+
+// --- The channel
+
+double Governor::State::waiting(Nanos now) {
+  queued = std::max(0.0, queued - seconds(now - queued_at) * lines_per_second);
+  queued_at = now;
+  while (!messages.empty() && messages.front() <= now - messages_window) messages.pop_front();
+  return queued;
+}
+
+// Guards the queue and the messages to one proxy: ordinary orders leave room for what cannot wait, and what
+// cannot wait still stays under the limit, on a channel at half its stated pace.
+bool Governor::State::may_send(Nanos now, double lines, bool urgent) {
+  const double limit = most_waiting * (urgent ? 0.9 : kChannelShare);
+  if (waiting(now) + lines > limit) return false;
+  if (messages_allowed == 0) return true;
+  const double allowed = messages_allowed * (urgent ? 1.0 : kOrdinaryMessages) - 1;  // one is for a binding
+  return static_cast<double>(messages.size()) + 1 <= allowed;
+}
+
+void Governor::State::sent(Nanos now, double lines) { queued = waiting(now) + lines; }
+
+// Sends what differs from the standing tables; a line that a replica needs before it is let in again goes
+// first, in the same message.
+void Governor::State::publish(Nanos now, bool urgent) {
+  if (!tables_are_ours) return;
+  const auto wanted = compose(now);
+  std::vector<std::pair<std::size_t, std::pair<ReplicaId, double>>> changes;
+  double lines = 0;
+  for (std::size_t t = 0; t < wanted.size(); ++t) {
+    if (wanted[t].empty()) continue;  // an empty table would leave its proxies without a replica
+    for (const auto& [id, weight] : wanted[t]) {
+      const auto at = standing[t].find(id);
+      const bool same =
+          at != standing[t].end() && std::abs(weight - at->second) <= kWorthSending * at->second;
+      if (!same) changes.push_back({t, {id, weight}});
+    }
+    for (const auto& [id, weight] : standing[t]) {
+      // A withdrawn replica may keep its line for its return, unless it is gone for good.
+      const auto replica = replicas.find(id);
+      const bool returns = replica != replicas.end() && replica->second.breaker == Breaker::open &&
+                           replica->second.phase == Phase::ready;
+      if (!wanted[t].contains(id) && !returns) changes.push_back({t, {id, 0.0}});
+    }
+  }
+  std::vector<std::pair<ReplicaId, bool>> withdrawals;
+  for (auto& [id, replica] : replicas) {
+    if (replica.withdrawn == serves(replica)) withdrawals.push_back({id, !serves(replica)});
+  }
+  if (changes.empty() && withdrawals.empty()) return;
+  lines = static_cast<double>(proxies.size()) * (head + withdrawals.size()) +
+          static_cast<double>(proxies.size() * changes.size()) / zones;
+  if (!may_send(now, lines, urgent)) return;
+  for (const auto& [id, out] : withdrawals) {
+    if (out) host.withdraw(id, true);
+  }
+  for (const auto& [t, line] : changes) {
+    host.set_line(TableId{static_cast<std::uint16_t>(t)}, line.first, line.second);
+    if (line.second > 0) {
+      standing[t][line.first] = line.second;
+    } else {
+      standing[t].erase(line.first);
+    }
+  }
+  for (const auto& [id, out] : withdrawals) {
+    if (!out) host.withdraw(id, false);
+    replicas[id].withdrawn = out;
+  }
+  messages.push_back(now);
+  sent(now, lines);
+  hurry = false;
+  next_publish = now + publish_every;
+}
+
+// A proxy that joins has none of our tables: it gets all of them at once, with every standing withdrawal.
+void Governor::State::bind(Nanos now) {
+  if (!tables_are_ours) return;
+  for (auto& [id, proxy] : proxies) {
+    if (proxy.bound || static_cast<std::size_t>(proxy.zone) >= zones) continue;
+    double lines = head;
+    bool ready = true;
+    for (std::size_t g = 0; g < groups.size(); ++g) {
+      const auto& held = standing[static_cast<std::size_t>(table(static_cast<std::size_t>(proxy.zone), g))];
+      if (held.empty()) ready = false;
+      lines += 2.0 * static_cast<double>(held.size()) + 2;
+    }
+    if (!ready || waiting(now) + lines > 0.9 * most_waiting) continue;
+    for (std::size_t g = 0; g < groups.size(); ++g) {
+      host.bind(id, table(static_cast<std::size_t>(proxy.zone), g), groups[g].classes);
+    }
+    proxy.bound = true;
+    sent(now, lines);
+  }
+}
+
+// No trip may empty a table: when drains and deaths take what the breakers had left, the replica that is due
+// back first comes back now.
+void Governor::State::keep_served(Nanos now) {
+  for (const auto& group : groups) {
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+      std::pair<const ReplicaId, Replica>* first = nullptr;
+      bool served = false;
+      for (auto& entry : replicas) {
+        if (entry.second.phase != Phase::ready || !open_to(group, zone, entry.second)) continue;
+        if (serves(entry.second)) served = true;
+        if (!first || entry.second.reopens < first->second.reopens) first = &entry;
+      }
+      if (!served && first) half_open(now, first->first, first->second);
+    }
+  }
+}
+
+void Governor::State::round(Nanos now) {
+  host.arm(round_every, kRoundTimer);
+  judge(now);
+  keep_served(now);
+  step_loads(now);
+  if (hurry || now >= next_publish) publish(now, hurry);
+  bind(now);
+}
+
+// --- Events
+
+void Governor::State::take_entry(Nanos now, const ListEntry& entry, bool at_start) {
+  const bool known = replicas.contains(entry.replica);
+  auto& replica = replicas[entry.replica];
+  const bool was_ready = known && replica.phase == Phase::ready;
+  const bool restarted = known && entry.started && replica.started != entry.started;
+  replica.zone = entry.zone;
+  replica.kind = entry.kind;
+  replica.listed = std::max(1e-3, entry.weight);
+  replica.phase = entry.phase;
+  replica.started = entry.started;
+  if (entry.phase != Phase::ready) {
+    if (was_ready) hurry = true;
+    return;
+  }
+  const bool cold = entry.started && now < *entry.started + cold_time;
+  if (at_start || (was_ready && !restarted)) {
+    // Listed at the start means closed, but what started a moment ago is cold whatever the breaker says.
+    if (at_start && cold) half_open(now, entry.replica, replica);
+    return;
+  }
+  replica.step = 1;
+  replica.cooldown = kCooldown;
+  half_open(now, entry.replica, replica);
+}
+
+Governor::Governor(const Settings& settings, std::uint64_t seed, Nanos now, Host& host)
+    : state_(std::make_unique<State>(settings, seed, now, host)) {}
+Governor::~Governor() = default;
+Governor::Governor(Governor&&) noexcept = default;
+Governor& Governor::operator=(Governor&&) noexcept = default;
+
+void Governor::list_received(Nanos now, ListKind kind, const std::vector<ListEntry>& entries) {
+  auto& s = *state_;
+  s.list_failures = 0;
+  for (const auto& entry : entries) s.take_entry(now, entry, kind == ListKind::cached);
+  if (kind != ListKind::changes) {
+    std::set<ReplicaId> listed;
+    for (const auto& entry : entries) listed.insert(entry.replica);
+    for (auto& [id, replica] : s.replicas) {
+      if (listed.contains(id) || replica.phase == Phase::gone) continue;
+      replica.phase = Phase::gone;
+      s.hurry = true;
+    }
+  }
+  s.keep_served(now);
+  if (s.hurry || kind == ListKind::cached) s.publish(now, true);
+}
+
+void Governor::list_failed(Nanos now) {
+  auto& s = *state_;
+  (void)now;
+  // Against every asker coming back at the same moment to a list that is already too busy.
+  s.list_failures = std::min(s.list_failures + 1, 3);
+  std::uniform_real_distribution<double> spread(0.3, 1.0);
+  s.host.arm(Nanos(static_cast<Nanos::rep>(5e8 * (1 << s.list_failures) * spread(s.chance))), kWatchTimer);
+}
+
+void Governor::proxy_joined(Nanos now, ProxyId proxy, ZoneId zone, double usual_operations_per_second,
+                            bool fresh) {
+  auto& s = *state_;
+  s.proxies[proxy] = {zone, false};
+  // Until its sums arrive, what it usually gets stands in for them.
+  if (fresh && static_cast<std::size_t>(zone) < s.zones) {
+    for (std::size_t k = 0; k < s.class_work.size(); ++k) {
+      const double each = usual_operations_per_second / static_cast<double>(s.class_work.size());
+      s.groups[s.class_group[k]].demand[static_cast<std::size_t>(zone)].add(now, each * s.class_work[k]);
+    }
+  }
+  s.bind(now);
+}
+
+void Governor::proxy_left(Nanos, ProxyId proxy) { state_->proxies.erase(proxy); }
+
+void Governor::replica_summed(Nanos now, const ReplicaSum& sum) {
+  auto& s = *state_;
+  const auto at = s.replicas.find(sum.replica);
+  if (at == s.replicas.end()) return;
+  auto& replica = at->second;
+  if (now < replica.evidence_from) return;
+  const double good = static_cast<double>(sum.tries) - std::min(sum.failed, sum.tries);
+  replica.tries.add(now, sum.tries);
+  replica.failed.add(now, sum.failed);
+  replica.sound_tries += good;
+  if (good > 0 && sum.mean_time > Nanos{}) {
+    replica.time_sum.add(now, good * seconds(sum.mean_time));
+    replica.time_count.add(now, good);
+  }
+  if (s.load_column && *s.load_column < sum.load.size()) {
+    replica.load_sum.add(now, sum.load[*s.load_column]);
+    replica.load_count.add(now, 1);
+  }
+}
+
+void Governor::demand_summed(Nanos now, ProxyId proxy, const Demand& demand) {
+  auto& s = *state_;
+  const auto at = s.proxies.find(proxy);
+  const auto k = static_cast<std::size_t>(demand.cls);
+  if (at == s.proxies.end() || k >= s.class_work.size()) return;
+  const auto zone = static_cast<std::size_t>(at->second.zone);
+  if (zone >= s.zones) return;
+  s.groups[s.class_group[k]].demand[zone].add(now, demand.operations * s.class_work[k]);
+}
+
+void Governor::timer_due(Nanos now, TimerId timer) {
+  if (timer == kRoundTimer) state_->round(now);
+  if (timer == kWatchTimer) state_->host.watch_list(true);
+}
+
+void Governor::orders_applied(Nanos, ProxyId, MarkId, Nanos) {}
+void Governor::probe_answered(Nanos, const ProbeAnswer&) {}
+void Governor::peer_said(Nanos, PeerId, std::string_view) {}
+// Sites with slices are not served yet: their standing tables are left as the store holds them.
+void Governor::slice_given(Nanos, TableId) {}
+void Governor::slice_revoked(Nanos, TableId) {}
+void Governor::slice_line_stored(Nanos, TableId, ReplicaId, double) {}
+void Governor::slice_demand_summed(Nanos, TableId, const Demand&) {}
+
+}  // namespace ospreypost
--- /dev/null
+++ b/src/wire/settings.cpp
@@ -0,0 +1,190 @@
+#include "wire/settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <initializer_list>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace ospreypost::wire {
+namespace {
+
+class Pairs {
+ public:
+  explicit Pairs(std::string_view text) {
+    while (!text.empty()) {
+      const auto end = text.find('\n');
+      const auto line = text.substr(0, end);
+      text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+      if (line.empty()) continue;
+      const auto equals = line.find('=');
+      if (equals == std::string_view::npos) fail(std::string(line), "has no '='");
+      values_[std::string(line.substr(0, equals))] = std::string(line.substr(equals + 1));
+    }
+  }
+
+  std::optional<std::string_view> find(const std::string& key) const {
+    const auto at = values_.find(key);
+    if (at == values_.end()) return std::nullopt;
+    return std::string_view(at->second);
+  }
+  std::string_view text(const std::string& key) const {
+    const auto value = find(key);
+    if (!value) fail(key, "is missing");
+    return *value;
+  }
+  double number(const std::string& key) const { return to_number(key, text(key)); }
+  double number_or(const std::string& key, double otherwise) const {
+    const auto value = find(key);
+    return value ? to_number(key, *value) : otherwise;
+  }
+  std::size_t count(const std::string& key) const {
+    const double value = number(key);
+    if (value < 0 || value > 65535 || value != std::floor(value)) fail(key, "is not a count");
+    return static_cast<std::size_t>(value);
+  }
+  Nanos time(const std::string& key) const {
+    const double seconds = number(key);
+    if (std::abs(seconds) > 9.0e9) fail(key, "is out of range");
+    return Nanos(std::llround(seconds * 1e9));
+  }
+  bool yes(const std::string& key) const { return to_bool(key, text(key)); }
+  bool yes_or(const std::string& key, bool otherwise) const {
+    const auto value = find(key);
+    return value ? to_bool(key, *value) : otherwise;
+  }
+  std::vector<std::string_view> items(const std::string& key) const {
+    std::vector<std::string_view> parts;
+    auto rest = find(key).value_or("");
+    while (!rest.empty()) {
+      const auto comma = rest.find(',');
+      parts.push_back(rest.substr(0, comma));
+      rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+    }
+    return parts;
+  }
+  template <typename Id>
+  std::vector<Id> ids(const std::string& key, const std::string& names_key) const {
+    std::vector<Id> found;
+    const auto names = items(names_key);
+    for (const auto item : items(key)) {
+      std::uint16_t index = 0;
+      const auto [end, error] = std::from_chars(item.data(), item.data() + item.size(), index);
+      if (error != std::errc{} || end != item.data() + item.size()) {
+        const auto named = std::find(names.begin(), names.end(), item);
+        if (named == names.end()) fail(key, "names nothing known");
+        index = static_cast<std::uint16_t>(named - names.begin());
+      }
+      found.push_back(Id{index});
+    }
+    return found;
+  }
+  template <typename Choice>
+  Choice choice(const std::string& key,
+                std::initializer_list<std::pair<std::string_view, Choice>> choices) const {
+    const auto value = text(key);
+    for (const auto& [name, chosen] : choices) {
+      if (name == value) return chosen;
+    }
+    fail(key, "has the unknown value '" + std::string(value) + "'");
+  }
+  static bool to_bool(const std::string& key, std::string_view value) {
+    if (value == "true") return true;
+    if (value == "false") return false;
+    fail(key, "is neither true nor false");
+  }
+
+ private:
+  [[noreturn]] static void fail(const std::string& key, const std::string& what) {
+    throw Malformed("settings: " + key + " " + what);
+  }
+  static double to_number(const std::string& key, std::string_view value) {
+    double number = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number);
+    if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(number)) {
+      fail(key, "is not a finite number");
+    }
+    return number;
+  }
+  std::map<std::string, std::string> values_;
+};
+
+LoadColumn load_column(std::string_view name) {
+  if (name == "inflight") return LoadColumn::inflight;
+  if (name == "queue") return LoadColumn::queue;
+  if (name == "util") return LoadColumn::util;
+  if (name == "latency_ms") return LoadColumn::latency;
+  if (name == "qps") return LoadColumn::rate;
+  if (name == "eps") return LoadColumn::errors;
+  return LoadColumn::other;
+}
+
+ClassSettings read_class(const Pairs& pairs, const std::string& at) {
+  ClassSettings cls;
+  cls.effect = pairs.choice<Effect>(at + "effect", {{"idempotent", Effect::idempotent},
+                                                    {"deduplicated", Effect::deduplicated},
+                                                    {"at_most_once", Effect::at_most_once}});
+  cls.target_time = pairs.time(at + "on-time-s");
+  cls.abandon_time = pairs.time(at + "deadline-s");
+  cls.payoff = pairs.number(at + "worth");
+  cls.late_payoff = pairs.number_or(at + "late-value", 0);
+  cls.only_zones = pairs.ids<ZoneId>(at + "only-zones", "azs");
+  cls.only_kinds = pairs.ids<KindId>(at + "only-kinds", "skus");
+  return cls;
+}
+
+}  // namespace
+
+Settings parse_settings(std::string_view text) {
+  const Pairs pairs(text);
+  Settings settings;
+  const auto classes = pairs.count("classes.count");
+  if (classes > 16) throw Malformed("settings: classes.count is past what a class mask can name");
+  for (std::size_t k = 0; k < classes; ++k) {
+    settings.classes.push_back(read_class(pairs, "classes." + std::to_string(k) + "."));
+  }
+  const auto home_only = pairs.items("family-info.home-only");
+  for (std::size_t k = 0; k < classes && k < home_only.size(); ++k) {
+    settings.classes[k].home_only = Pairs::to_bool("family-info.home-only", home_only[k]);
+  }
+  settings.zones = pairs.items("azs").size();
+  settings.own_zone = ZoneId{static_cast<std::uint16_t>(pairs.count("zone"))};
+  settings.list_by_asking =
+      pairs.choice<bool>("membership-mode", {{"automatic", false}, {"subscribe", true}});
+  settings.may_probe = pairs.yes("allowed.may-probe");
+  settings.reporting = pairs.choice<Reporting>(
+      "report.via",
+      {{"piggyback", Reporting::in_sums}, {"pull", Reporting::by_probe}, {"silent", Reporting::none}});
+  for (const auto name : pairs.items("report.columns")) settings.load_columns.push_back(load_column(name));
+  settings.admission = pairs.choice<Admission>(
+      "family-info.admit",
+      {{"share", Admission::share}, {"rate", Admission::rate}, {"silent", Admission::ignored}});
+  settings.picking = pairs.choice<Picking>(
+      "family-info.selects-by",
+      {{"weighted", Picking::weighted}, {"round", Picking::round}, {"two", Picking::two}});
+  settings.slices = pairs.count("family-info.ranges");
+  settings.slices_exclusive = pairs.yes("family-info.exclusive");
+  settings.report_every = pairs.time("family-info.report-every-s");
+  settings.message_time = pairs.time("family-info.transit-max-s");
+  settings.ask_within = pairs.time("contract.ask-within-s");
+  settings.drain_grace = pairs.time("contract.stop-sending-within-s");
+  settings.bare_limit = pairs.time("family-info.bare-s");
+  settings.channel_lines_per_second = pairs.number("family-info.channel-rate");
+  settings.channel_most_waiting = pairs.number("family-info.most-waiting");
+  settings.message_head_lines = pairs.number("family-info.head");
+  settings.messages_allowed = pairs.count("family-info.pushes-allowed");
+  settings.messages_window = pairs.time("family-info.counted-over-s");
+  settings.cold_share = pairs.number("contract.cold-from");
+  settings.cold_time = pairs.time("contract.cold-s");
+  settings.fall_multiple = pairs.number("contract.tip-multiple");
+  settings.fall_time = pairs.time("contract.fall-s");
+  settings.only_draining_binds = pairs.yes_or("contract.drain-binds-alone", false);
+  return settings;
+}
+
+}  // namespace ospreypost::wire
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,199 @@
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "support.h"
+
+namespace ospreypost::test {
+namespace {
+
+constexpr ReplicaId kSick{4};
+
+TEST(Breaker, TripsAReplicaWhoseTriesFail) {
+  Scene scene;
+  for (int s = 0; s < 3; ++s) scene.second();
+  const int took = scene.seconds_until(4, true, {{4, 10}}, 10);
+  EXPECT_GE(took, 1);
+  EXPECT_LE(took, 3);
+}
+
+TEST(Breaker, TwoUnluckyTriesTripNothing) {
+  Scene scene;
+  for (int s = 0; s < 6; ++s) scene.second({{4, s == 2 ? 2u : 0u}}, 0, 2);
+  EXPECT_TRUE(scene.host.withdrawn.empty());
+}
+
+TEST(Breaker, FailureOfAllTripsNone) {
+  Scene scene;
+  for (int s = 0; s < 10; ++s) scene.second({}, 7);
+  EXPECT_TRUE(scene.host.withdrawn.empty());
+}
+
+TEST(Breaker, CooldownDoublesForARepeat) {
+  Scene scene;
+  for (int s = 0; s < 3; ++s) scene.second();
+  ASSERT_GE(scene.seconds_until(4, true, {{4, 10}}, 10), 0);
+  const int first = scene.seconds_until(4, false, {}, 30);
+  ASSERT_GE(scene.seconds_until(4, true, {{4, 10}}, 30), 0);
+  const int second = scene.seconds_until(4, false, {}, 40);
+  EXPECT_GT(first, 0);
+  EXPECT_GE(second, 2 * first - 1);
+}
+
+TEST(Breaker, ReturnsAtTheFloorAndClimbsOnlyOnEvidence) {
+  Scene scene;
+  for (int s = 0; s < 3; ++s) scene.second();
+  const double full = scene.host.part(ProxyId{1}, kSick);
+  ASSERT_GE(scene.seconds_until(4, true, {{4, 10}}, 10), 0);
+  ASSERT_GE(scene.seconds_until(4, false, {}, 30), 0);
+  EXPECT_LT(scene.host.part(ProxyId{1}, kSick), 0.35 * full);
+  scene.pass(30s);  // nothing is heard: undecided holds
+  EXPECT_LT(scene.host.part(ProxyId{1}, kSick), 0.35 * full);
+  for (int s = 0; s < 25; ++s) scene.second();
+  EXPECT_NEAR(scene.host.part(ProxyId{1}, kSick), full, 0.15 * full);
+}
+
+TEST(Breaker, NeverTakesOutMoreThanItsPart) {
+  Scene scene;
+  std::map<std::uint32_t, unsigned> sick;
+  for (std::uint32_t id = 0; id < 5; ++id) sick[id] = 10;
+  for (int s = 0; s < 12; ++s) {
+    scene.second(sick);
+    EXPECT_LE(scene.host.withdrawn.size(), 4u);
+  }
+}
+
+TEST(Drains, AreWithdrawnAtOnce) {
+  Scene scene;
+  scene.list(entry(4, 1, Phase::draining));
+  EXPECT_TRUE(scene.host.withdrawn.contains(kSick));
+  scene.pass(10s);
+  for (const auto& [table, lines] : scene.host.tables) EXPECT_FALSE(lines.contains(kSick));
+}
+
+TEST(Drains, AMissingEntryOfACompleteListIsGone) {
+  Scene scene;
+  scene.governor.list_received(scene.host.now, ListKind::complete, {entry(0, 0), entry(1, 1), entry(2, 2)});
+  EXPECT_EQ(scene.host.withdrawn.size(), 6u);
+}
+
+TEST(Bare, ATripNeverTakesTheLastReplicaOfAClass) {
+  auto settings = small_settings();
+  settings.classes[1].only_zones = {ZoneId{1}};
+  Scene scene(settings, 9);
+  scene.list(entry(1, 1, Phase::gone));
+  scene.list(entry(7, 1, Phase::gone));
+  for (int s = 0; s < 10; ++s) scene.second({{4, 10}});
+  EXPECT_FALSE(scene.host.withdrawn.contains(kSick));
+}
+
+TEST(Bare, ADeathBringsBackWhatTheBreakerHeld) {
+  auto settings = small_settings();
+  settings.classes[1].only_zones = {ZoneId{1}};
+  Scene scene(settings, 9);
+  for (int s = 0; s < 3; ++s) scene.second();
+  ASSERT_GE(scene.seconds_until(4, true, {{4, 10}}, 10), 0);
+  scene.list(entry(1, 1, Phase::gone));
+  scene.list(entry(7, 1, Phase::gone));
+  EXPECT_FALSE(scene.host.withdrawn.contains(kSick));
+}
+
+TEST(Cold, ANewReplicaStartsSmallAndCannotOutgrowItsWarming) {
+  Scene scene;
+  auto fresh = entry(4, 1);
+  for (int s = 0; s < 3; ++s) scene.second();
+  const double full = scene.host.part(ProxyId{1}, kSick);
+  scene.list(entry(4, 1, Phase::gone));
+  scene.pass(1s);
+  fresh.started = scene.host.now;
+  scene.list(fresh);
+  for (int s = 1; s < 14; ++s) {
+    scene.second();
+    const double sure = 0.2 + 0.8 * s / 15;
+    EXPECT_LE(scene.host.part(ProxyId{1}, kSick), 1.35 * sure * full) << s;
+  }
+}
+
+TEST(Listing, AFailedWatchIsAskedAnewAfterAWhile) {
+  auto settings = small_settings();
+  settings.list_by_asking = true;
+  Scene scene(settings);
+  ASSERT_EQ(scene.host.watches, 1);
+  scene.governor.list_failed(scene.host.now);
+  EXPECT_EQ(scene.host.watches, 1);
+  scene.pass(5s);
+  EXPECT_EQ(scene.host.watches, 2);
+}
+
+// The rules in their plainest form, held against the module on generated days.
+class Rules : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(Rules, HoldOnGeneratedInput) {
+  std::mt19937 chance(GetParam());
+  const auto roll = [&](unsigned n) { return static_cast<std::uint32_t>(chance() % n); };
+  auto settings = small_settings();
+  if (roll(2)) settings.classes[1].only_zones = {ZoneId{0}, ZoneId{2}};
+  Scene scene(settings, 9);
+  std::map<std::uint32_t, Phase> listed;
+  std::map<std::uint32_t, Nanos> told;
+  for (std::uint32_t id = 0; id < 9; ++id) listed[id] = Phase::ready;
+  for (int step = 0; step < 60; ++step) {
+    std::map<std::uint32_t, unsigned> failed;
+    for (std::uint32_t id = 0; id < 9; ++id) failed[id] = roll(4) ? 0 : roll(11);
+    scene.second(failed, 0, 1 + roll(12));
+    if (roll(3) == 0) {
+      const auto id = roll(9);
+      const auto phase = static_cast<Phase>(roll(3));
+      const auto others = std::count_if(listed.begin(), listed.end(), [&](const auto& l) {
+        return l.first != id && l.second == Phase::ready;
+      });
+      if (phase == Phase::ready || others >= 4) {
+        if (phase != Phase::ready && listed[id] == Phase::ready) told[id] = scene.host.now;
+        auto e = entry(id, static_cast<std::uint16_t>(id % 3), phase);
+        if (phase == Phase::ready && listed[id] != Phase::ready) e.started = scene.host.now;
+        if (phase != listed[id]) scene.list(e);
+        listed[id] = phase;
+      }
+    }
+    if (roll(8) == 0) {
+      const ProxyId proxy{static_cast<std::uint16_t>(roll(3))};
+      scene.governor.proxy_left(scene.host.now, proxy);
+      for (unsigned k = 0; k < 2; ++k) scene.host.bound.erase({proxy, k});
+      scene.governor.proxy_joined(scene.host.now, proxy, ZoneId{static_cast<std::uint16_t>(proxy)}, 20,
+                                  false);
+    }
+    const auto& host = scene.host;
+    for (const auto& [id, phase] : listed) {
+      if (phase != Phase::ready && host.now - told[id] > settings.drain_grace - settings.message_time) {
+        EXPECT_TRUE(host.withdrawn.contains(ReplicaId{id})) << "drain of " << id << " at step " << step;
+      }
+    }
+    for (const auto& [at, table] : host.bound) {
+      const auto& only = settings.classes[at.second].only_zones;
+      bool open = false, served = false;
+      for (const auto& [id, phase] : listed) {
+        const ZoneId zone{static_cast<std::uint16_t>(id % 3)};
+        const bool allowed = only.empty() || std::find(only.begin(), only.end(), zone) != only.end();
+        if (!allowed) {
+          EXPECT_FALSE(host.tables.at(table).contains(ReplicaId{id}));
+          continue;
+        }
+        open |= phase == Phase::ready;
+        served |= host.tables.at(table).contains(ReplicaId{id}) && !host.withdrawn.contains(ReplicaId{id});
+      }
+      EXPECT_TRUE(served || !open) << "bare at step " << step;
+    }
+    for (const auto& level : host.levels) {
+      EXPECT_FALSE((level.classes == 0 || (level.classes & 2u)) && level.retry > Retry::after_proof);
+    }
+    EXPECT_EQ(host.repeated, 0);
+    const auto recent = std::count_if(host.messages.begin(), host.messages.end(),
+                                      [&](Nanos at) { return at > host.now - settings.messages_window; });
+    EXPECT_LE(recent, static_cast<long>(settings.messages_allowed));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Days, Rules, ::testing::Range(1u, 41u));
+
+}  // namespace
+}  // namespace ospreypost::test
--- /dev/null
+++ b/tests/support.h
@@ -0,0 +1,180 @@
+// What several tests share: small settings, a host that keeps its books, and a hand to turn the clock.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "rules.h"
+
+namespace ospreypost::test {
+
+using namespace std::chrono_literals;
+
+inline Settings small_settings() {
+  Settings s;
+  ClassSettings read;
+  read.effect = Effect::idempotent;
+  read.target_time = 1s;
+  read.abandon_time = 3s;
+  ClassSettings write = read;
+  write.effect = Effect::at_most_once;
+  s.classes = {read, write};
+  s.zones = 3;
+  s.reporting = Reporting::in_sums;
+  s.load_columns = {LoadColumn::util};
+  s.admission = Admission::share;
+  s.report_every = 1s;
+  s.message_time = 500ms;
+  s.ask_within = 10s;
+  s.drain_grace = 3s;
+  s.bare_limit = 5s;
+  s.channel_lines_per_second = 5000;
+  s.channel_most_waiting = 10000;
+  s.message_head_lines = 5;
+  s.messages_allowed = 14;
+  s.messages_window = 10s;
+  s.cold_share = 0.2;
+  s.cold_time = 15s;
+  s.fall_multiple = 3;
+  s.fall_time = 2s;
+  return s;
+}
+
+inline ListEntry entry(std::uint32_t id, std::uint16_t zone = 0, Phase phase = Phase::ready) {
+  ListEntry e;
+  e.replica = ReplicaId{id};
+  e.zone = ZoneId{zone};
+  e.phase = phase;
+  return e;
+}
+
+// Keeps what the proxies would hold, and counts what the channel would carry.
+class BookHost : public Host {
+ public:
+  void set_line(TableId table, ReplicaId replica, double weight) override {
+    repeated += weight > 0 && tables[table].contains(replica) && tables[table][replica] == weight;
+    weight > 0 ? void(tables[table][replica] = weight) : void(tables[table].erase(replica));
+    ordered = true;
+  }
+  void clear_table(TableId table) override { tables[table].clear(), ordered = true; }
+  void bind(ProxyId proxy, TableId table, ClassMask classes) override {
+    for (unsigned k = 0; k < 16; ++k) {
+      if (classes == 0 || (classes >> k & 1u)) bound[{proxy, k}] = table;
+    }
+    bindings.insert(proxy);
+  }
+  void withdraw(ReplicaId replica, bool out) override {
+    out ? void(withdrawn.insert(replica)) : void(withdrawn.erase(replica));
+    ordered = true;
+  }
+  void set_level(TableId, ClassMask classes, double level, Retry retry) override {
+    levels.push_back({classes, level, retry});
+    ordered = true;
+  }
+  void mark(MarkId, bool) override {}
+  void arm(Nanos from_now, TimerId timer) override { timers.insert({now + from_now, timer}); }
+  void watch_list(bool) override { ++watches; }
+  void look_up_list() override {}
+  void probe(ReplicaId replica) override { probes.push_back(replica); }
+  void tell(std::optional<PeerId>, std::string_view) override {}
+  void log(std::string_view line) override { logged.emplace_back(line); }
+
+  struct Level {
+    ClassMask classes;
+    double level;
+    Retry retry;
+  };
+  // The share of class 0's operations that a proxy would send to a replica.
+  double part(ProxyId proxy, ReplicaId replica) const {
+    const auto at = bound.find({proxy, 0});
+    if (at == bound.end() || !tables.contains(at->second)) return 0;
+    double sum = 0, own = 0;
+    for (const auto& [id, weight] : tables.at(at->second)) {
+      if (withdrawn.contains(id)) continue;
+      sum += weight;
+      if (id == replica) own = weight;
+    }
+    return sum > 0 ? own / sum : 0;
+  }
+
+  Nanos now{1000s};
+  std::map<TableId, std::map<ReplicaId, double>> tables;
+  std::map<std::pair<ProxyId, unsigned>, TableId> bound;
+  std::set<ReplicaId> withdrawn;
+  std::set<ProxyId> bindings;
+  std::multimap<Nanos, TimerId> timers;
+  std::vector<Level> levels;
+  std::vector<ReplicaId> probes;
+  std::vector<std::string> logged;
+  std::vector<Nanos> messages;  // when orders went out to all
+  int watches = 0, repeated = 0;
+  bool ordered = false;
+};
+
+// A governor with three proxies, one a zone, and the time in hand.
+struct Scene {
+  explicit Scene(const Settings& settings = small_settings(), std::uint32_t replicas = 9)
+      : governor(settings, 7, host.now, host) {
+    std::vector<ListEntry> entries;
+    for (std::uint32_t id = 0; id < replicas; ++id) {
+      entries.push_back(entry(id, static_cast<std::uint16_t>(id % settings.zones)));
+    }
+    governor.list_received(host.now, ListKind::cached, entries);
+    for (std::uint16_t p = 0; p < 3; ++p) governor.proxy_joined(host.now, ProxyId{p}, ZoneId{p}, 20, true);
+    book();
+  }
+  void book() {
+    if (host.ordered) host.messages.push_back(host.now);
+    host.ordered = false;
+  }
+  void list(const ListEntry& e) {
+    governor.list_received(host.now, ListKind::changes, {e});
+    book();
+  }
+  // Lets a second pass, then hands over what a zone met at each replica; `failed` of ten tries at `sick`.
+  void second(const std::map<std::uint32_t, unsigned>& failed = {}, unsigned at_all = 0,
+              unsigned tries = 10) {
+    pass(1s);
+    for (std::uint32_t id = 0; id < 9; ++id) {
+      if (host.withdrawn.contains(ReplicaId{id})) continue;
+      ReplicaSum sum;
+      sum.replica = ReplicaId{id};
+      sum.tries = tries;
+      sum.failed = std::min(tries, failed.contains(id) ? failed.at(id) : at_all);
+      sum.mean_time = 100ms;
+      sum.span = 1s;
+      sum.load = {0.5F};
+      governor.replica_summed(host.now, sum);
+      book();
+    }
+  }
+  void pass(Nanos span) {
+    const auto until = host.now + span;
+    while (!host.timers.empty() && host.timers.begin()->first <= until) {
+      const auto [at, timer] = *host.timers.begin();
+      host.timers.erase(host.timers.begin());
+      host.now = std::max(host.now, at);
+      governor.timer_due(host.now, timer);
+      book();
+    }
+    host.now = until;
+  }
+  // Seconds until the replica is withdrawn (true) or back (false); -1 if it is not within the limit.
+  int seconds_until(std::uint32_t id, bool out, const std::map<std::uint32_t, unsigned>& failed, int limit) {
+    for (int s = 0; s < limit; ++s) {
+      if (host.withdrawn.contains(ReplicaId{id}) == out) return s;
+      second(failed);
+    }
+    return -1;
+  }
+  BookHost host;
+  Governor governor;
+};
+
+}  // namespace ospreypost::test
