--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -39,6 +39,7 @@
 constexpr Nanos kEvidenceHalfLife = 2s;
 constexpr Nanos kLoadHalfLife = 2s;
 constexpr Nanos kDemandHalfLife = 4s;
+constexpr Nanos kProbeEvery = 2s;                   // for each replica, where loads come no other way
 constexpr Nanos kStepEvery = 3s;                    // load steps
 constexpr double kStepBand = 0.2;                   // off the mean before a step is taken
 constexpr double kStepMost = 1.25;                  // one step at the most
@@ -89,6 +90,7 @@
   DecayingSum load_sum{kLoadHalfLife}, load_count{kLoadHalfLife};
   Nanos evidence_from{};  // sums that came earlier speak of another life
 
+  Nanos next_probe{};
   bool withdrawn = false;  // as ordered
 };
 
@@ -139,6 +141,8 @@
   void publish(Nanos now, bool urgent);
   void bind(Nanos now);
   void round(Nanos now);
+  void ask_loads(Nanos now);
+  void take_load(Nanos now, Replica& replica, const std::vector<float>& load) const;
   void take_entry(Nanos now, const ListEntry& entry, bool at_start);
 
   Host& host;
@@ -155,7 +159,7 @@
   std::vector<double> class_work;
   std::vector<std::size_t> class_group;
   std::optional<std::size_t> load_column;
-  bool load_is_per_size = false;
+  bool load_is_per_size = false, probes_for_load = false;
   std::vector<Group> groups;
 
   std::map<ReplicaId, Replica> replicas;
@@ -212,10 +216,12 @@
   }
   for (const auto wanted : {LoadColumn::util, LoadColumn::inflight, LoadColumn::queue}) {
     const auto at = std::find(s.load_columns.begin(), s.load_columns.end(), wanted);
-    if (load_column || at == s.load_columns.end() || s.reporting != Reporting::in_sums) continue;
+    if (load_column || at == s.load_columns.end() || s.reporting == Reporting::none) continue;
     load_column = static_cast<std::size_t>(at - s.load_columns.begin());
     load_is_per_size = wanted != LoadColumn::util;
   }
+  probes_for_load = s.reporting == Reporting::by_probe && s.may_probe && load_column;
+  if (s.reporting == Reporting::by_probe && !s.may_probe) load_column.reset();
   standing.resize(zones * groups.size());
   if (asks_for_list) host.watch_list(true);
   host.arm(round_every, kRoundTimer);
@@ -576,8 +582,28 @@
   }
 }
 
+// Where loads come only when asked for, all replicas are asked once in each probe span, spread over its
+// rounds.
+void Governor::State::ask_loads(Nanos now) {
+  if (!probes_for_load) return;
+  for (auto& [id, replica] : replicas) {
+    if (!serves(replica) || now < replica.next_probe) continue;
+    host.probe(id);
+    const bool first = replica.next_probe == Nanos{};
+    std::uniform_real_distribution<double> spread(first ? 0.0 : 0.9, 1.0);
+    replica.next_probe = now + Nanos(static_cast<Nanos::rep>(kProbeEvery.count() * spread(chance)));
+  }
+}
+
+void Governor::State::take_load(Nanos now, Replica& replica, const std::vector<float>& load) const {
+  if (!load_column || *load_column >= load.size() || now < replica.evidence_from) return;
+  replica.load_sum.add(now, load[*load_column]);
+  replica.load_count.add(now, 1);
+}
+
 void Governor::State::round(Nanos now) {
   host.arm(round_every, kRoundTimer);
+  ask_loads(now);
   judge(now);
   keep_served(now);
   step_loads(now);
@@ -674,10 +700,7 @@
     replica.time_sum.add(now, good * seconds(sum.mean_time));
     replica.time_count.add(now, good);
   }
-  if (s.load_column && *s.load_column < sum.load.size()) {
-    replica.load_sum.add(now, sum.load[*s.load_column]);
-    replica.load_count.add(now, 1);
-  }
+  s.take_load(now, replica, sum.load);
 }
 
 void Governor::demand_summed(Nanos now, ProxyId proxy, const Demand& demand) {
@@ -696,7 +719,14 @@
 }
 
 void Governor::orders_applied(Nanos, ProxyId, MarkId, Nanos) {}
-void Governor::probe_answered(Nanos, const ProbeAnswer&) {}
+
+// A probe is asked only for the load report that comes with it: an answer says nothing of live traffic, and a
+// missing one may be the fault of our own way to the replica.
+void Governor::probe_answered(Nanos now, const ProbeAnswer& answer) {
+  const auto at = state_->replicas.find(answer.replica);
+  if (at != state_->replicas.end() && answer.answered) state_->take_load(now, at->second, answer.load);
+}
+
 void Governor::peer_said(Nanos, PeerId, std::string_view) {}
 // Sites with slices are not served yet: their standing tables are left as the store holds them.
 void Governor::slice_given(Nanos, TableId) {}
