--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -50,6 +50,14 @@
 constexpr double kChannelShare = 0.5;      // of the stated pace and limit that we count on
 constexpr double kOrdinaryMessages = 0.7;  // of the messages allowed; the rest is kept for what cannot wait
 
+constexpr double kCrowdedFailing = 0.12;  // failing share of the middle replica that means too much is let in
+constexpr double kCrowdedTime = 0.6;      // or its mean time, of the target time
+constexpr double kShedMost = 0.3;         // of what is let in, taken back in one report span at the most
+constexpr double kShedEase = 0.08;        // given again in one report span
+constexpr double kLeastLetIn = 0.25;      // of the work asked for
+constexpr double kLeastLevel = 0.1;       // no class is shut out
+constexpr double kColdMargin = 0.5;       // of the load that would push a cold replica over
+
 constexpr TimerId kRoundTimer{1}, kWatchTimer{2};
 
 double seconds(Nanos time) { return std::chrono::duration<double>(time).count(); }
@@ -125,6 +133,10 @@
   void keep_served(Nanos now);
   void forget_evidence(Nanos now, Replica& replica) const;
   double share(Nanos now, const Replica& replica) const;
+  double pressure(Nanos now) const;
+  void admit(Nanos now);
+  std::vector<double> class_levels(Nanos now) const;
+  double repeats(Nanos now) const;
   void step_loads(Nanos now);
   double load_of(Nanos now, const Replica& replica) const;
 
@@ -156,7 +168,13 @@
   const Nanos messages_window;
   const double cold_share;
   const Nanos cold_time;
-  std::vector<double> class_work;
+  const double fall_multiple;
+  const bool may_shed;
+  std::vector<double> class_work, class_payoff;
+  std::vector<DecayingSum> class_demand;
+  double let_in = 1;  // of the work asked for
+  Nanos next_admit{};
+  std::vector<double> levels;  // as ordered, by class
   std::vector<std::size_t> class_group;
   std::optional<std::size_t> load_column;
   bool load_is_per_size = false, probes_for_load = false;
@@ -195,12 +213,18 @@
       messages_window(s.messages_window),
       cold_share(std::clamp(s.cold_share, 0.01, 1.0)),
       cold_time(std::max<Nanos>(s.cold_time, 1ms)),
+      fall_multiple(s.fall_multiple),
+      may_shed(s.admission == Admission::share && s.slices == 0),
+      class_demand(s.classes.size(), DecayingSum{kDemandHalfLife}),
+      next_admit(now),
+      levels(s.classes.size(), 1.0),
       next_publish(now),
       next_step(now + kStepEvery),
       queued_at(now) {
   for (const auto& cls : s.classes) {
     // Nobody tells the work of a class; those who ask allow more time for what takes longer.
     class_work.push_back(std::max(1e-3, seconds(cls.target_time)));
+    class_payoff.push_back(cls.payoff / class_work.back());
     const auto same = [&](const Group& group) {
       return group.home_only == cls.home_only && group.zones == cls.only_zones &&
              group.kinds == cls.only_kinds;
@@ -334,11 +358,77 @@
   }
   if (replica.started && now < *replica.started + cold_time) {
     const double age = std::max(0.0, seconds(now - *replica.started) / seconds(cold_time));
-    part = std::min(part, cold_share + (1 - cold_share) * age);
+    const double sure = cold_share + (1 - cold_share) * age;
+    // Repeats multiply what every line is sent, and a cold replica falls by what is sent, not by what it
+    // takes.
+    part = std::min(part, sure * std::min(1.0, kColdMargin * fall_multiple / repeats(now)));
   }
   return part;
 }
 
+// Tries for each good one, over all replicas that serve.
+double Governor::State::repeats(Nanos now) const {
+  double tries = 1, good = 1;
+  for (const auto& [id, replica] : replicas) {
+    if (!serves(replica)) continue;
+    tries += replica.tries.read(now);
+    good += replica.tries.read(now) - replica.failed.read(now);
+  }
+  return tries / good;
+}
+
+// How crowded the middle replica is; above 1 is too much. The middle one, as a fault of a few is not too much
+// work.
+double Governor::State::pressure(Nanos now) const {
+  double work = 0, operations = 0;
+  for (std::size_t k = 0; k < class_work.size(); ++k) {
+    work += class_demand[k].read(now) * class_work[k];
+    operations += class_demand[k].read(now);
+  }
+  const double target = operations > 0 ? work / operations : 1;
+  std::vector<double> crowded;
+  for (const auto& [id, replica] : replicas) {
+    const double tries = replica.tries.read(now), times = replica.time_count.read(now);
+    if (!serves(replica) || tries < 1) continue;
+    const double time = times > 0.5 ? replica.time_sum.read(now) / times : 0;
+    crowded.push_back(
+        std::max(replica.failed.read(now) / tries / kCrowdedFailing, time / (kCrowdedTime * target)));
+  }
+  if (crowded.empty()) return 0;
+  const auto middle = crowded.begin() + static_cast<std::ptrdiff_t>(crowded.size() / 2);
+  std::nth_element(crowded.begin(), middle, crowded.end());
+  return *middle;
+}
+
+// When most replicas are crowded, more tries only add repeats, and all are late. What is let in shrinks at
+// once and grows slowly; the class with the least payoff for its work gives way first.
+void Governor::State::admit(Nanos now) {
+  if (!may_shed || now < next_admit) return;
+  next_admit = now + 2 * round_every;
+  const double crowded = pressure(now);
+  let_in = crowded > 1 ? let_in * (1 - kShedMost * std::min(1.0, crowded - 1)) : let_in + kShedEase;
+  let_in = std::clamp(let_in, kLeastLetIn, 1.0);
+}
+
+std::vector<double> Governor::State::class_levels(Nanos now) const {
+  std::vector<double> wanted(levels.size(), 1.0);
+  if (let_in >= 1) return wanted;
+  std::vector<std::size_t> order(levels.size());
+  double budget = 0;
+  for (std::size_t k = 0; k < order.size(); ++k) {
+    order[k] = k;
+    budget += let_in * class_demand[k].read(now) * class_work[k];
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [&](std::size_t a, std::size_t b) { return class_payoff[a] > class_payoff[b]; });
+  for (const auto k : order) {
+    const double work = std::max(1e-9, class_demand[k].read(now) * class_work[k]);
+    wanted[k] = std::clamp(budget / work, kLeastLevel, 1.0);
+    budget = std::max(0.0, budget - work);
+  }
+  return wanted;
+}
+
 double Governor::State::load_of(Nanos now, const Replica& replica) const {
   const auto& sum = load_column ? replica.load_sum : replica.time_sum;
   const auto& count = load_column ? replica.load_count : replica.time_count;
@@ -515,12 +605,20 @@
       if (!wanted[t].contains(id) && !returns) changes.push_back({t, {id, 0.0}});
     }
   }
+  std::vector<std::pair<std::size_t, double>> level_changes;
+  const auto wanted_levels = class_levels(now);
+  for (std::size_t k = 0; k < levels.size(); ++k) {
+    const bool back = wanted_levels[k] >= 1 && levels[k] < 1;
+    if (back || std::abs(wanted_levels[k] - levels[k]) > kWorthSending) {
+      level_changes.push_back({k, wanted_levels[k]});
+    }
+  }
   std::vector<std::pair<ReplicaId, bool>> withdrawals;
   for (auto& [id, replica] : replicas) {
     if (replica.withdrawn == serves(replica)) withdrawals.push_back({id, !serves(replica)});
   }
-  if (changes.empty() && withdrawals.empty()) return;
-  lines = static_cast<double>(proxies.size()) * (head + withdrawals.size()) +
+  if (changes.empty() && withdrawals.empty() && level_changes.empty()) return;
+  lines = static_cast<double>(proxies.size()) * (head + withdrawals.size() + 2 * levels.size()) +
           static_cast<double>(proxies.size() * changes.size()) / zones;
   if (!may_send(now, lines, urgent)) return;
   for (const auto& [id, out] : withdrawals) {
@@ -538,6 +636,11 @@
     if (!out) host.withdraw(id, false);
     replicas[id].withdrawn = out;
   }
+  for (const auto& [k, level] : level_changes) {
+    // Proof that the first try never ran is the most that an effect allows at every class.
+    host.set_level(kEveryTable, static_cast<ClassMask>(1u << k), level, Retry::after_proof);
+    levels[k] = level;
+  }
   messages.push_back(now);
   sent(now, lines);
   hurry = false;
@@ -607,6 +710,7 @@
   judge(now);
   keep_served(now);
   step_loads(now);
+  admit(now);
   if (hurry || now >= next_publish) publish(now, hurry);
   bind(now);
 }
@@ -711,6 +815,7 @@
   const auto zone = static_cast<std::size_t>(at->second.zone);
   if (zone >= s.zones) return;
   s.groups[s.class_group[k]].demand[zone].add(now, demand.operations * s.class_work[k]);
+  s.class_demand[k].add(now, demand.operations);
 }
 
 void Governor::timer_due(Nanos now, TimerId timer) {
