--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -45,6 +45,8 @@
 constexpr double kStepMost = 1.25;                  // one step at the most
 constexpr double kStepLeast = 0.4, kStepTop = 2.0;  // of the listed weight
 constexpr double kLocalSlack = 0.15;       // a zone may run this far above the mean load before it spills
+constexpr double kFullEnough = 0.85;       // mean use of the replicas that surprises must not pass
+constexpr double kDemandSurprise = 0.4;    // by how much a zone's demand may be off before it is told
 constexpr double kWorthSending = 0.08;     // relative change of a line below which it is not sent
 constexpr double kSmallestSpill = 0.03;    // a thinner flow into a zone costs connections for nothing
 constexpr double kChannelShare = 0.5;      // of the stated pace and limit that we count on
@@ -143,6 +145,7 @@
   // The tables.
   bool serves(const Replica& replica) const;
   bool open_to(const Group& group, std::size_t zone, const Replica& replica) const;
+  double homeliness(Nanos now) const;
   std::vector<Lines> compose(Nanos now) const;
   TableId table(std::size_t zone, std::size_t group) const;
 
@@ -471,11 +474,27 @@
   return has(group.zones, replica.zone) && has(group.kinds, replica.kind);
 }
 
+// How far a zone's proxies keep to their own zone. Demand is known late and moves meanwhile, and a zone that
+// keeps to itself takes the whole of the surprise; the fuller the replicas, the more of it all must share.
+double Governor::State::homeliness(Nanos now) const {
+  if (!load_column || load_is_per_size) return 1;
+  double used = 0, size = 0;
+  for (const auto& [id, replica] : replicas) {
+    const double load = load_of(now, replica);
+    if (!serves(replica) || load < 0) continue;
+    used += load * replica.listed * replica.step;
+    size += replica.listed * replica.step;
+  }
+  if (used <= 0) return 1;
+  return std::clamp((kFullEnough * size / used - 1) / kDemandSurprise, 0.0, 1.0);
+}
+
 // Whom a table serves is ours to settle: each zone's proxies keep to their own zone as far as it has room,
 // and what is over goes where room is left. Room is judged against the mean load of all, so a zone full of
 // cold or withdrawn replicas spills and a quiet one takes more. Groups with the fewest zones to choose from
 // go first.
 std::vector<Lines> Governor::State::compose(Nanos now) const {
+  const double home = homeliness(now);
   std::vector<double> room(zones, 0.0);
   double demand = 0, capacity = 0;
   for (const auto& [id, replica] : replicas) {
@@ -542,7 +561,11 @@
       }
     }
     for (std::size_t zone = 0; zone < zones; ++zone) {
-      double sum = 0;
+      double weights = 0, sum = 0;
+      for (std::size_t to = 0; to < zones; ++to) weights += usable(zone, to);
+      for (std::size_t to = 0; to < zones && weights > 0; ++to) {
+        flow[zone][to] = home * flow[zone][to] + (1 - home) * left[zone] * usable(zone, to) / weights;
+      }
       for (auto& part : flow[zone]) {
         if (part < kSmallestSpill * left[zone]) part = 0;
         sum += part;
