--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -518,6 +518,7 @@
   });
 
   std::vector<Lines> lines(standing.size());
+  std::vector<double> taken(zones, 0.0);
   for (const auto g : order) {
     const auto& group = groups[g];
     // What this group may use of each zone, by the zone of the proxies.
@@ -562,9 +563,14 @@
     }
     for (std::size_t zone = 0; zone < zones; ++zone) {
       double weights = 0, sum = 0;
-      for (std::size_t to = 0; to < zones; ++to) weights += usable(zone, to);
+      const auto spare = [&](std::size_t to) {
+        // What groups with less choice already bring there counts against a zone.
+        if (usable(zone, to) <= 0) return 0.0;
+        return std::max(0.05 * usable(zone, to), usable(zone, to) * demand / capacity - taken[to]);
+      };
+      for (std::size_t to = 0; to < zones; ++to) weights += spare(to);
       for (std::size_t to = 0; to < zones && weights > 0; ++to) {
-        flow[zone][to] = home * flow[zone][to] + (1 - home) * left[zone] * usable(zone, to) / weights;
+        flow[zone][to] = home * flow[zone][to] + (1 - home) * left[zone] * spare(to) / weights;
       }
       for (auto& part : flow[zone]) {
         if (part < kSmallestSpill * left[zone]) part = 0;
@@ -580,6 +586,9 @@
         table_lines[id] = weight * (flow[zone][to] / sum) * capacity / usable(zone, to);
       }
     }
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+      for (std::size_t to = 0; to < zones; ++to) taken[to] += flow[zone][to];
+    }
   }
   return lines;
 }
