--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,6 +37,8 @@
 constexpr double kRetripFailures = 2;  // half-open is on trial: fewer do
 constexpr double kMostOut = 0.34;      // of listed weight that breakers may hold out at once
 constexpr Nanos kEvidenceHalfLife = 2s;
+constexpr Nanos kUsualHalfLife = 6s;  // of what a replica is usually sent
+constexpr double kSilence = 8;        // tries that others' reports say it must have met, none good: it hangs
 constexpr Nanos kLoadHalfLife = 2s;
 constexpr Nanos kDemandHalfLife = 4s;
 constexpr Nanos kProbeEvery = 2s;                   // for each replica, where loads come no other way
@@ -94,6 +96,9 @@
   std::optional<Nanos> anchored;  // when the doubling came; the climb counts from it
   double sound_tries = 0;         // since the return
   double step = 1;
+  std::vector<DecayingSum> usual;  // tries by zone of the proxies, over a longer time
+  bool did_well = true;            // since the last round, which counts whole report beats only
+  std::vector<double> heard;       // each zone's count of tries when this one last did well
 
   DecayingSum tries{kEvidenceHalfLife}, failed{kEvidenceHalfLife};
   DecayingSum time_sum{kLoadHalfLife}, time_count{kLoadHalfLife};
@@ -129,6 +134,7 @@
 
   // The breaker.
   void judge(Nanos now);
+  double silence(Nanos now, const Replica& replica) const;
   bool may_trip(const Replica& replica) const;
   void trip(Nanos now, ReplicaId id, Replica& replica);
   void half_open(Nanos now, ReplicaId id, Replica& replica);
@@ -187,8 +193,10 @@
   std::map<ProxyId, Proxy> proxies;
   std::vector<Lines> standing;  // as ordered, by table
   Nanos next_publish{}, next_step{};
-  std::deque<Nanos> messages;  // when orders went to all, within the window
-  double queued = 0;           // lines we believe to wait
+  std::vector<DecayingSum> zone_usual;
+  std::vector<double> zone_tries;  // counted up since the start
+  std::deque<Nanos> messages;      // when orders went to all, within the window
+  double queued = 0;               // lines we believe to wait
   Nanos queued_at{};
   bool hurry = false;
   int list_failures = 0;
@@ -249,6 +257,8 @@
   }
   probes_for_load = s.reporting == Reporting::by_probe && s.may_probe && load_column;
   if (s.reporting == Reporting::by_probe && !s.may_probe) load_column.reset();
+  zone_usual.assign(zones, DecayingSum{kUsualHalfLife});
+  zone_tries.assign(zones, 0.0);
   standing.resize(zones * groups.size());
   if (asks_for_list) host.watch_list(true);
   host.arm(round_every, kRoundTimer);
@@ -266,6 +276,7 @@
                     &replica.load_sum, &replica.load_count}) {
     sum->clear();
   }
+  for (auto& zone_sum : replica.usual) zone_sum.clear();
   replica.sound_tries = 0;
   replica.evidence_from = now + sums_lag;
 }
@@ -292,6 +303,18 @@
   return true;
 }
 
+// How many tries a replica must have met, by its usual part of what each zone reports, since one of them last
+// went well. Guards against what hangs or vanishes: its tries are counted only when they time out, so for
+// seconds it just falls silent. Late or missing reports of all do not count, nor do those of one zone.
+double Governor::State::silence(Nanos now, const Replica& replica) const {
+  double missed = 0;
+  for (std::size_t zone = 0; zone < zones; ++zone) {
+    const double part = replica.usual[zone].read(now) / std::max(1.0, zone_usual[zone].read(now));
+    missed += part * (zone_tries[zone] - replica.heard[zone]);
+  }
+  return missed;
+}
+
 void Governor::State::trip(Nanos now, ReplicaId id, Replica& replica) {
   // A replica that fails soon after it closed has not recovered: its cooldown goes on doubling.
   const bool repeat = replica.breaker == Breaker::half_open || now < replica.proven_until;
@@ -319,6 +342,8 @@
     all_failed += replica.failed.read(now);
   }
   for (auto& [id, replica] : replicas) {
+    if (replica.did_well) replica.heard = zone_tries;
+    replica.did_well = false;
     if (replica.phase != Phase::ready) continue;
     if (replica.breaker == Breaker::open) {
       if (now >= replica.reopens) half_open(now, id, replica);
@@ -329,7 +354,8 @@
     const double others = (all_failed - failed) / std::max(1.0, all_tries - tries);
     const bool on_trial = replica.breaker == Breaker::half_open;
     const bool failing =
-        failed > tries * (kTripShare + others) && failed >= (on_trial ? kRetripFailures : kTripFailures);
+        (failed > tries * (kTripShare + others) && failed >= (on_trial ? kRetripFailures : kTripFailures)) ||
+        silence(now, replica) >= kSilence;
     if (failing && may_trip(replica)) {
       trip(now, id, replica);
       continue;
@@ -759,6 +785,10 @@
   replica.listed = std::max(1e-3, entry.weight);
   replica.phase = entry.phase;
   replica.started = entry.started;
+  if (!known) {
+    replica.usual.assign(zones, DecayingSum{kUsualHalfLife});
+    replica.heard = zone_tries;
+  }
   if (entry.phase != Phase::ready) {
     if (was_ready) hurry = true;
     return;
@@ -824,11 +854,20 @@
 
 void Governor::replica_summed(Nanos now, const ReplicaSum& sum) {
   auto& s = *state_;
+  if (static_cast<std::size_t>(sum.zone) < s.zones) {
+    s.zone_usual[static_cast<std::size_t>(sum.zone)].add(now, sum.tries);
+    s.zone_tries[static_cast<std::size_t>(sum.zone)] += sum.tries;
+  }
   const auto at = s.replicas.find(sum.replica);
   if (at == s.replicas.end()) return;
   auto& replica = at->second;
   if (now < replica.evidence_from) return;
   const double good = static_cast<double>(sum.tries) - std::min(sum.failed, sum.tries);
+  const auto zone = static_cast<std::size_t>(sum.zone);
+  if (zone < s.zones) {
+    replica.usual[zone].add(now, sum.tries);
+    replica.did_well = replica.did_well || good > 0;
+  }
   replica.tries.add(now, sum.tries);
   replica.failed.add(now, sum.failed);
   replica.sound_tries += good;
