--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -459,11 +459,15 @@
 }
 
 double Governor::State::load_of(Nanos now, const Replica& replica) const {
-  const auto& sum = load_column ? replica.load_sum : replica.time_sum;
-  const auto& count = load_column ? replica.load_count : replica.time_count;
-  if (count.read(now) < 0.2) return -1;
-  const double mean = sum.read(now) / count.read(now);
-  return load_is_per_size ? mean / std::max(1e-6, replica.listed) : mean;
+  const double times = replica.time_count.read(now), loads = replica.load_count.read(now);
+  const double time = times < 0.2 ? -1 : replica.time_sum.read(now) / times;
+  if (!load_column) return time;
+  if (loads < 0.2) return -1;
+  const double load = replica.load_sum.read(now) / loads;
+  if (load_is_per_size) return load / std::max(1e-6, replica.listed);
+  // Use stops at full while a queue goes on growing; only the time tells then which replica has the longer
+  // one.
+  return time > 0 ? load * std::sqrt(time) : load;
 }
 
 void Governor::State::step_loads(Nanos now) {
@@ -506,9 +510,9 @@
   if (!load_column || load_is_per_size) return 1;
   double used = 0, size = 0;
   for (const auto& [id, replica] : replicas) {
-    const double load = load_of(now, replica);
-    if (!serves(replica) || load < 0) continue;
-    used += load * replica.listed * replica.step;
+    const double loads = replica.load_count.read(now);
+    if (!serves(replica) || loads < 0.2) continue;
+    used += replica.load_sum.read(now) / loads * replica.listed * replica.step;
     size += replica.listed * replica.step;
   }
   if (used <= 0) return 1;
