--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -55,7 +55,7 @@
 constexpr double kOrdinaryMessages = 0.7;  // of the messages allowed; the rest is kept for what cannot wait
 
 constexpr double kCrowdedFailing = 0.12;  // failing share of the middle replica that means too much is let in
-constexpr double kCrowdedTime = 0.6;      // or its mean time, of the target time
+constexpr double kCrowdedTime = 0.35;     // or its mean time, of the target time
 constexpr double kShedMost = 0.3;         // of what is let in, taken back in one report span at the most
 constexpr double kShedEase = 0.08;        // given again in one report span
 constexpr double kLeastLetIn = 0.25;      // of the work asked for
