--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,7 +48,7 @@
 constexpr double kStepLeast = 0.4, kStepTop = 2.0;  // of the listed weight
 constexpr double kLocalSlack = 0.15;       // a zone may run this far above the mean load before it spills
 constexpr double kFullEnough = 0.85;       // mean use of the replicas that surprises must not pass
-constexpr double kDemandSurprise = 0.4;    // by how much a zone's demand may be off before it is told
+constexpr double kDemandSurprise = 1.0;    // by how much a zone's demand may be off before it is told
 constexpr double kWorthSending = 0.08;     // relative change of a line below which it is not sent
 constexpr double kSmallestSpill = 0.03;    // a thinner flow into a zone costs connections for nothing
 constexpr double kChannelShare = 0.5;      // of the stated pace and limit that we count on
