--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -60,6 +60,8 @@
 constexpr double kShedEase = 0.08;        // given again in one report span
 constexpr double kLeastLetIn = 0.25;      // of the work asked for
 constexpr double kLeastLevel = 0.1;       // no class is shut out
+constexpr double kHoldRepeats = 0.6;  // tries for a good one, of the load that pushes a cold replica over,
+constexpr double kReleaseRepeats = 0.45;  // from which cold ones are held out, and let in again
 constexpr double kColdMargin = 0.5;       // of the load that would push a cold replica over
 
 constexpr TimerId kRoundTimer{1}, kWatchTimer{2};
@@ -93,6 +95,7 @@
   Nanos returned{};            // when half-open began
   Nanos window_ends{};
   Nanos proven_until{};           // a trip before then is a repeat, closed or not
+  bool held = false;              // cold, and kept out of a jam
   std::optional<Nanos> anchored;  // when the doubling came; the climb counts from it
   double sound_tries = 0;         // since the return
   double step = 1;
@@ -134,7 +137,10 @@
 
   // The breaker.
   void judge(Nanos now);
+  bool cold(Nanos now, const Replica& replica) const;
+  void hold_cold(Nanos now);
   double silence(Nanos now, const Replica& replica) const;
+  bool others_serve(const Replica& replica) const;
   bool may_trip(const Replica& replica) const;
   void trip(Nanos now, ReplicaId id, Replica& replica);
   void half_open(Nanos now, ReplicaId id, Replica& replica);
@@ -267,7 +273,7 @@
 // --- The breaker
 
 bool Governor::State::serves(const Replica& replica) const {
-  return replica.phase == Phase::ready && replica.breaker != Breaker::open;
+  return replica.phase == Phase::ready && replica.breaker != Breaker::open && !replica.held;
 }
 
 // Sums that reach us now were counted before the change that we answer them for.
@@ -290,7 +296,10 @@
     listed += other.listed;
     if (other.breaker == Breaker::open) out += other.listed;
   }
-  if (out > kMostOut * listed) return false;
+  return out <= kMostOut * listed && others_serve(replica);
+}
+
+bool Governor::State::others_serve(const Replica& replica) const {
   for (const auto& group : groups) {
     for (std::size_t zone = 0; zone < zones; ++zone) {
       if (!open_to(group, zone, replica)) continue;
@@ -334,6 +343,31 @@
   host.log("half-open " + name(id));
 }
 
+bool Governor::State::cold(Nanos now, const Replica& replica) const {
+  return replica.started && now < *replica.started + cold_time;
+}
+
+// Guards cold replicas against a jam. Where most tries fail, proxies shun what failed them and come down on
+// the newest line whatever its weight, so no weight is small enough; what is cold stays out until the jam is
+// over or it is warm, as long as something else serves each group of classes.
+void Governor::State::hold_cold(Nanos now) {
+  const double tries = repeats(now);
+  for (auto& [id, replica] : replicas) {
+    if (replica.phase != Phase::ready) continue;
+    if (replica.held) {
+      if (cold(now, replica) && tries > kReleaseRepeats * fall_multiple) continue;
+      replica.held = false;
+      host.log("release " + name(id));
+      if (replica.breaker != Breaker::open) half_open(now, id, replica);
+    } else if (cold(now, replica) && serves(replica) && tries > kHoldRepeats * fall_multiple &&
+               others_serve(replica)) {
+      replica.held = true;
+      host.log("hold cold " + name(id));
+      hurry = true;
+    }
+  }
+}
+
 void Governor::State::judge(Nanos now) {
   double all_tries = 0, all_failed = 0;
   for (const auto& [id, replica] : replicas) {
@@ -385,7 +419,7 @@
   } else if (replica.breaker == Breaker::half_open) {
     part = kFloor;
   }
-  if (replica.started && now < *replica.started + cold_time) {
+  if (cold(now, replica)) {
     const double age = std::max(0.0, seconds(now - *replica.started) / seconds(cold_time));
     const double sure = cold_share + (1 - cold_share) * age;
     // Repeats multiply what every line is sent, and a cold replica falls by what is sent, not by what it
@@ -742,7 +776,9 @@
         if (serves(entry.second)) served = true;
         if (!first || entry.second.reopens < first->second.reopens) first = &entry;
       }
-      if (!served && first) half_open(now, first->first, first->second);
+      if (served || !first) continue;
+      first->second.held = false;
+      half_open(now, first->first, first->second);
     }
   }
 }
@@ -770,6 +806,7 @@
   host.arm(round_every, kRoundTimer);
   ask_loads(now);
   judge(now);
+  hold_cold(now);
   keep_served(now);
   step_loads(now);
   admit(now);
@@ -797,13 +834,13 @@
     if (was_ready) hurry = true;
     return;
   }
-  const bool cold = entry.started && now < *entry.started + cold_time;
   if (at_start || (was_ready && !restarted)) {
     // Listed at the start means closed, but what started a moment ago is cold whatever the breaker says.
-    if (at_start && cold) half_open(now, entry.replica, replica);
+    if (at_start && cold(now, replica)) half_open(now, entry.replica, replica);
     return;
   }
   replica.step = 1;
+  replica.held = false;
   replica.cooldown = kCooldown;
   half_open(now, entry.replica, replica);
 }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -114,6 +114,58 @@
   }
 }
 
+// Found by a hunt: proxies that shun all else come down on the newest line, however light.
+TEST(Cold, AJamHoldsColdReplicasOutUntilItIsOver) {
+  Scene scene;
+  for (int s = 0; s < 3; ++s) scene.second();
+  scene.list(entry(4, 1, Phase::gone));
+  auto fresh = entry(4, 1);
+  fresh.started = scene.host.now;
+  scene.list(fresh);
+  for (int s = 0; s < 3; ++s) scene.second({}, 8);
+  EXPECT_TRUE(scene.host.withdrawn.contains(kSick));
+  for (int s = 0; s < 8; ++s) scene.second();
+  EXPECT_FALSE(scene.host.withdrawn.contains(kSick));
+}
+
+TEST(Breaker, TripsAReplicaThatFallsSilentWhileOthersReport) {
+  Scene scene;
+  for (int s = 0; s < 5; ++s) scene.second();
+  for (int s = 0; s < 3; ++s) scene.second({}, 0, 10, 4);
+  EXPECT_EQ(scene.host.withdrawn, std::set<ReplicaId>{kSick});
+}
+
+TEST(Breaker, SilenceOfAllTripsNone) {
+  Scene scene;
+  for (int s = 0; s < 5; ++s) scene.second();
+  scene.pass(20s);
+  scene.second();
+  EXPECT_TRUE(scene.host.withdrawn.empty());
+}
+
+TEST(Shedding, ACrowdedFleetLetsInLessOfWhatPaysLeast) {
+  auto settings = small_settings();
+  settings.classes[1].payoff = 5;
+  Scene scene(settings);
+  for (int s = 0; s < 6; ++s) {
+    for (std::uint16_t p = 0; p < 3; ++p) {
+      for (std::uint16_t k = 0; k < 2; ++k) {
+        scene.governor.demand_summed(scene.host.now, ProxyId{p}, Demand{ClassId{k}, 20, 0, 1s});
+      }
+    }
+    scene.second({}, 6);
+  }
+  ASSERT_FALSE(scene.host.levels.empty());
+  std::map<ClassMask, double> level;
+  for (const auto& l : scene.host.levels) level[l.classes] = l.level;
+  EXPECT_EQ(scene.host.levels.front().classes, 1u);
+  EXPECT_LT(level[1], 0.5);
+  EXPECT_TRUE(!level.contains(2) || level[2] > level[1]);
+  for (int s = 0; s < 25; ++s) scene.second();
+  for (const auto& l : scene.host.levels) level[l.classes] = l.level;
+  for (const auto& [classes, last] : level) EXPECT_EQ(last, 1.0);
+}
+
 TEST(Listing, AFailedWatchIsAskedAnewAfterAWhile) {
   auto settings = small_settings();
   settings.list_by_asking = true;
--- a/tests/support.h
+++ b/tests/support.h
@@ -138,10 +138,11 @@
     book();
   }
   // Lets a second pass, then hands over what a zone met at each replica; `failed` of ten tries at `sick`.
-  void second(const std::map<std::uint32_t, unsigned>& failed = {}, unsigned at_all = 0,
-              unsigned tries = 10) {
+  void second(const std::map<std::uint32_t, unsigned>& failed = {}, unsigned at_all = 0, unsigned tries = 10,
+              int silent = -1) {
     pass(1s);
     for (std::uint32_t id = 0; id < 9; ++id) {
+      if (static_cast<int>(id) == silent) continue;
       if (host.withdrawn.contains(ReplicaId{id})) continue;
       ReplicaSum sum;
       sum.replica = ReplicaId{id};
