--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,6 +35,7 @@
 constexpr double kTripShare = 0.4;     // of the tries must fail, above what the others meet
 constexpr double kTripFailures = 4;    // and at least so many: two unlucky tries trip nothing
 constexpr double kRetripFailures = 2;  // half-open is on trial: fewer do
+constexpr double kSickYield = 0.3;     // of its part of what all handle: below it is sick, not full
 constexpr double kMostOut = 0.34;      // of listed weight that breakers may hold out at once
 constexpr Nanos kEvidenceHalfLife = 2s;
 constexpr Nanos kUsualHalfLife = 6s;  // of what a replica is usually sent
@@ -369,11 +370,12 @@
 }
 
 void Governor::State::judge(Nanos now) {
-  double all_tries = 0, all_failed = 0;
+  double all_tries = 0, all_failed = 0, all_weight = 0;
   for (const auto& [id, replica] : replicas) {
     if (!serves(replica)) continue;
     all_tries += replica.tries.read(now);
     all_failed += replica.failed.read(now);
+    all_weight += replica.listed * replica.step * share(now, replica);
   }
   for (auto& [id, replica] : replicas) {
     if (replica.did_well) replica.heard = zone_tries;
@@ -387,9 +389,13 @@
     // Against overload looking like sickness: what fails everywhere is no replica's own fault.
     const double others = (all_failed - failed) / std::max(1.0, all_tries - tries);
     const bool on_trial = replica.breaker == Breaker::half_open;
-    const bool failing =
-        (failed > tries * (kTripShare + others) && failed >= (on_trial ? kRetripFailures : kTripFailures)) ||
-        silence(now, replica) >= kSilence;
+    // A replica that is only full still handles its part; one that is sick handles far less than the others.
+    const double part = replica.listed * replica.step * share(now, replica) / std::max(1e-9, all_weight);
+    const bool handles_its_part =
+        tries - failed > std::max(kSickYield, 1 - 3 * others) * part * (all_tries - all_failed);
+    const bool failing = (failed > tries * (kTripShare + others) && !handles_its_part &&
+                          failed >= (on_trial ? kRetripFailures : kTripFailures)) ||
+                         silence(now, replica) >= kSilence;
     if (failing && may_trip(replica)) {
       trip(now, id, replica);
       continue;
