--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,11 +42,11 @@
 constexpr double kSilence = 8;        // tries that others' reports say it must have met, none good: it hangs
 constexpr Nanos kLoadHalfLife = 2s;
 constexpr Nanos kDemandHalfLife = 4s;
-constexpr Nanos kProbeEvery = 2s;                   // for each replica, where loads come no other way
-constexpr Nanos kStepEvery = 3s;                    // load steps
-constexpr double kStepBand = 0.2;                   // off the mean before a step is taken
-constexpr double kStepMost = 1.25;                  // one step at the most
-constexpr double kStepLeast = 0.4, kStepTop = 2.0;  // of the listed weight
+constexpr Nanos kProbeEvery = 2s;                    // for each replica, where loads come no other way
+constexpr Nanos kStepEvery = 3s;                     // load steps
+constexpr double kStepBand = 0.2;                    // off the mean before a step is taken
+constexpr double kStepMost = 1.25;                   // one step at the most
+constexpr double kStepLeast = 0.5, kStepTop = 1.25;  // of the listed weight
 constexpr double kLocalSlack = 0.15;       // a zone may run this far above the mean load before it spills
 constexpr double kFullEnough = 0.85;       // mean use of the replicas that surprises must not pass
 constexpr double kDemandSurprise = 1.0;    // by how much a zone's demand may be off before it is told
