--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -153,6 +153,7 @@
   std::vector<double> class_levels(Nanos now) const;
   double repeats(Nanos now) const;
   void step_loads(Nanos now);
+  double raw_load(Nanos now, const Replica& replica) const;
   double load_of(Nanos now, const Replica& replica) const;
 
   // The tables.
@@ -370,11 +371,12 @@
 }
 
 void Governor::State::judge(Nanos now) {
-  double all_tries = 0, all_failed = 0, all_weight = 0;
+  double all_tries = 0, all_failed = 0, all_weight = 0, loads = 0, reporting = 0;
   for (const auto& [id, replica] : replicas) {
     if (!serves(replica)) continue;
     all_tries += replica.tries.read(now);
     all_failed += replica.failed.read(now);
+    if (raw_load(now, replica) >= 0) loads += raw_load(now, replica), reporting += 1;
     all_weight += replica.listed * replica.step * share(now, replica);
   }
   for (auto& [id, replica] : replicas) {
@@ -389,11 +391,13 @@
     // Against overload looking like sickness: what fails everywhere is no replica's own fault.
     const double others = (all_failed - failed) / std::max(1.0, all_tries - tries);
     const bool on_trial = replica.breaker == Breaker::half_open;
-    // A replica that is only full still handles its part; one that is sick handles far less than the others.
+    // A replica that is only full still handles its part, or reports the load that keeps it from doing so;
+    // one that is sick handles far less than the others, and is idle or dumb meanwhile.
+    const bool full = raw_load(now, replica) >= loads / std::max(1.0, reporting) && tries - failed > 0.5;
     const double part = replica.listed * replica.step * share(now, replica) / std::max(1e-9, all_weight);
     const bool handles_its_part =
         tries - failed > std::max(kSickYield, 1 - 3 * others) * part * (all_tries - all_failed);
-    const bool failing = (failed > tries * (kTripShare + others) && !handles_its_part &&
+    const bool failing = (failed > tries * (kTripShare + others) && !handles_its_part && !full &&
                           failed >= (on_trial ? kRetripFailures : kTripFailures)) ||
                          silence(now, replica) >= kSilence;
     if (failing && may_trip(replica)) {
@@ -498,13 +502,17 @@
   return wanted;
 }
 
+double Governor::State::raw_load(Nanos now, const Replica& replica) const {
+  const double reports = replica.load_count.read(now);
+  if (!load_column || reports < 0.2) return -1;
+  return replica.load_sum.read(now) / reports / (load_is_per_size ? std::max(1e-6, replica.listed) : 1);
+}
+
 double Governor::State::load_of(Nanos now, const Replica& replica) const {
-  const double times = replica.time_count.read(now), loads = replica.load_count.read(now);
+  const double times = replica.time_count.read(now), load = raw_load(now, replica);
   const double time = times < 0.2 ? -1 : replica.time_sum.read(now) / times;
   if (!load_column) return time;
-  if (loads < 0.2) return -1;
-  const double load = replica.load_sum.read(now) / loads;
-  if (load_is_per_size) return load / std::max(1e-6, replica.listed);
+  if (load < 0 || load_is_per_size) return load;
   // Use stops at full while a queue goes on growing; only the time tells then which replica has the longer
   // one.
   return time > 0 ? load * std::sqrt(time) : load;
@@ -550,9 +558,9 @@
   if (!load_column || load_is_per_size) return 1;
   double used = 0, size = 0;
   for (const auto& [id, replica] : replicas) {
-    const double loads = replica.load_count.read(now);
-    if (!serves(replica) || loads < 0.2) continue;
-    used += replica.load_sum.read(now) / loads * replica.listed * replica.step;
+    const double load = raw_load(now, replica);
+    if (!serves(replica) || load < 0) continue;
+    used += load * replica.listed * replica.step;
     size += replica.listed * replica.step;
   }
   if (used <= 0) return 1;
