--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -47,7 +47,10 @@
 constexpr double kStepBand = 0.2;                    // off the mean before a step is taken
 constexpr double kStepMost = 1.25;                   // one step at the most
 constexpr double kStepLeast = 0.5, kStepTop = 1.25;  // of the listed weight
-constexpr double kLocalSlack = 0.15;       // a zone may run this far above the mean load before it spills
+constexpr double kLocalSlack = 0.15;  // a zone may run this far above the mean load before it spills
+// Proxies that pick the less busy of two even out their zone by themselves, and less well the more replicas
+// they share; spilling then only carries one zone's jam to the others.
+constexpr double kChoosyLocalSlack = 3.0;
 constexpr double kFullEnough = 0.85;       // mean use of the replicas that surprises must not pass
 constexpr double kDemandSurprise = 1.0;    // by how much a zone's demand may be off before it is told
 constexpr double kWorthSending = 0.08;     // relative change of a line below which it is not sent
@@ -183,6 +186,7 @@
   const double lines_per_second, most_waiting, head;
   const std::size_t messages_allowed;
   const Nanos messages_window;
+  const double local_slack;
   const double cold_share;
   const Nanos cold_time;
   const double fall_multiple;
@@ -230,6 +234,7 @@
       head(s.message_head_lines),
       messages_allowed(s.messages_allowed),
       messages_window(s.messages_window),
+      local_slack(s.picking == Picking::two ? kChoosyLocalSlack : kLocalSlack),
       cold_share(std::clamp(s.cold_share, 0.01, 1.0)),
       cold_time(std::max<Nanos>(s.cold_time, 1ms)),
       fall_multiple(s.fall_multiple),
@@ -584,7 +589,7 @@
   for (const auto& group : groups) {
     for (const auto& zone_demand : group.demand) demand += zone_demand.read(now);
   }
-  for (auto& zone_room : room) zone_room *= (1 + kLocalSlack) * demand / std::max(1e-9, capacity);
+  for (auto& zone_room : room) zone_room *= (1 + local_slack) * demand / std::max(1e-9, capacity);
 
   std::vector<std::size_t> order(groups.size());
   for (std::size_t g = 0; g < order.size(); ++g) order[g] = g;
