--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -926,7 +926,8 @@
   const auto zone = static_cast<std::size_t>(sum.zone);
   if (zone < s.zones) {
     replica.usual[zone].add(now, sum.tries);
-    replica.did_well = replica.did_well || good > 0;
+    // A refusal that carries a load report comes from a replica that is full, not from one that hangs.
+    replica.did_well = replica.did_well || good > 0 || !sum.load.empty();
   }
   replica.tries.add(now, sum.tries);
   replica.failed.add(now, sum.failed);
