--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -59,9 +59,9 @@
 constexpr double kOrdinaryMessages = 0.7;  // of the messages allowed; the rest is kept for what cannot wait
 
 constexpr double kCrowdedFailing = 0.12;  // failing share of the middle replica that means too much is let in
-constexpr double kCrowdedTime = 0.35;     // or its mean time, of the target time
+constexpr double kCrowdedTime = 0.45;     // or its mean time, of the target time
 constexpr double kShedMost = 0.3;         // of what is let in, taken back in one report span at the most
-constexpr double kShedEase = 0.08;        // given again in one report span
+constexpr double kShedEase = 0.5;         // given again in one report span, times what is left to crowded
 constexpr double kLeastLetIn = 0.25;      // of the work asked for
 constexpr double kLeastLevel = 0.1;       // no class is shut out
 constexpr double kHoldRepeats = 0.6;  // tries for a good one, of the load that pushes a cold replica over,
@@ -151,6 +151,7 @@
   void keep_served(Nanos now);
   void forget_evidence(Nanos now, Replica& replica) const;
   double share(Nanos now, const Replica& replica) const;
+  double use(Nanos now) const;
   double pressure(Nanos now) const;
   void admit(Nanos now);
   std::vector<double> class_levels(Nanos now) const;
@@ -455,6 +456,18 @@
   return tries / good;
 }
 
+// Mean use of the replicas that serve, by weight; 0 where no report tells it.
+double Governor::State::use(Nanos now) const {
+  double used = 0, size = 0;
+  for (const auto& [id, replica] : replicas) {
+    const double load = raw_load(now, replica), weight = replica.listed * replica.step;
+    if (!serves(replica) || load < 0) continue;
+    used += load * weight;
+    size += weight;
+  }
+  return load_is_per_size || size <= 0 ? 0 : used / size;
+}
+
 // How crowded the middle replica is; above 1 is too much. The middle one, as a fault of a few is not too much
 // work.
 double Governor::State::pressure(Nanos now) const {
@@ -472,10 +485,12 @@
     crowded.push_back(
         std::max(replica.failed.read(now) / tries / kCrowdedFailing, time / (kCrowdedTime * target)));
   }
-  if (crowded.empty()) return 0;
+  // Use is full before anything is late.
+  const double full = 1 + (use(now) - kFullEnough) / (1 - kFullEnough);
+  if (crowded.empty()) return std::max(0.0, full);
   const auto middle = crowded.begin() + static_cast<std::ptrdiff_t>(crowded.size() / 2);
   std::nth_element(crowded.begin(), middle, crowded.end());
-  return *middle;
+  return std::max(*middle, full);
 }
 
 // When most replicas are crowded, more tries only add repeats, and all are late. What is let in shrinks at
@@ -484,7 +499,8 @@
   if (!may_shed || now < next_admit) return;
   next_admit = now + 2 * round_every;
   const double crowded = pressure(now);
-  let_in = crowded > 1 ? let_in * (1 - kShedMost * std::min(1.0, crowded - 1)) : let_in + kShedEase;
+  let_in = crowded > 1 ? let_in * (1 - kShedMost * std::min(1.0, crowded - 1))
+                       : let_in + kShedEase * (1 - crowded);
   let_in = std::clamp(let_in, kLeastLetIn, 1.0);
 }
 
@@ -560,16 +576,8 @@
 // How far a zone's proxies keep to their own zone. Demand is known late and moves meanwhile, and a zone that
 // keeps to itself takes the whole of the surprise; the fuller the replicas, the more of it all must share.
 double Governor::State::homeliness(Nanos now) const {
-  if (!load_column || load_is_per_size) return 1;
-  double used = 0, size = 0;
-  for (const auto& [id, replica] : replicas) {
-    const double load = raw_load(now, replica);
-    if (!serves(replica) || load < 0) continue;
-    used += load * replica.listed * replica.step;
-    size += replica.listed * replica.step;
-  }
-  if (used <= 0) return 1;
-  return std::clamp((kFullEnough * size / used - 1) / kDemandSurprise, 0.0, 1.0);
+  const double used = use(now);
+  return used <= 0 ? 1 : std::clamp((kFullEnough / used - 1) / kDemandSurprise, 0.0, 1.0);
 }
 
 // Whom a table serves is ours to settle: each zone's proxies keep to their own zone as far as it has room,
