--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -36,6 +36,7 @@
 constexpr double kTripFailures = 4;    // and at least so many: two unlucky tries trip nothing
 constexpr double kRetripFailures = 2;  // half-open is on trial: fewer do
 constexpr double kSickYield = 0.3;     // of its part of what all handle: below it is sick, not full
+constexpr double kAlive = 0.1;         // of its tries go well at what is full, not dead
 constexpr double kMostOut = 0.34;      // of listed weight that breakers may hold out at once
 constexpr Nanos kEvidenceHalfLife = 2s;
 constexpr Nanos kUsualHalfLife = 6s;  // of what a replica is usually sent
@@ -399,7 +400,8 @@
     const bool on_trial = replica.breaker == Breaker::half_open;
     // A replica that is only full still handles its part, or reports the load that keeps it from doing so;
     // one that is sick handles far less than the others, and is idle or dumb meanwhile.
-    const bool full = raw_load(now, replica) >= loads / std::max(1.0, reporting) && tries - failed > 0.5;
+    const double full_load = std::max(loads / std::max(1.0, reporting), load_is_per_size ? 0 : kFullEnough);
+    const bool full = raw_load(now, replica) >= full_load && tries - failed > kAlive * tries;
     const double part = replica.listed * replica.step * share(now, replica) / std::max(1e-9, all_weight);
     const bool handles_its_part =
         tries - failed > std::max(kSickYield, 1 - 3 * others) * part * (all_tries - all_failed);
