--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -156,7 +156,7 @@
   double pressure(Nanos now) const;
   void admit(Nanos now);
   std::vector<double> class_levels(Nanos now) const;
-  double repeats(Nanos now) const;
+  double repeats(Nanos now, ZoneId zone) const;
   void step_loads(Nanos now);
   double raw_load(Nanos now, const Replica& replica) const;
   double load_of(Nanos now, const Replica& replica) const;
@@ -360,9 +360,9 @@
 // the newest line whatever its weight, so no weight is small enough; what is cold stays out until the jam is
 // over or it is warm, as long as something else serves each group of classes.
 void Governor::State::hold_cold(Nanos now) {
-  const double tries = repeats(now);
   for (auto& [id, replica] : replicas) {
     if (replica.phase != Phase::ready) continue;
+    const double tries = repeats(now, replica.zone);
     if (replica.held) {
       if (cold(now, replica) && tries > kReleaseRepeats * fall_multiple) continue;
       replica.held = false;
@@ -442,20 +442,22 @@
     const double sure = cold_share + (1 - cold_share) * age;
     // Repeats multiply what every line is sent, and a cold replica falls by what is sent, not by what it
     // takes.
-    part = std::min(part, sure * std::min(1.0, kColdMargin * fall_multiple / repeats(now)));
+    part = std::min(part, sure * std::min(1.0, kColdMargin * fall_multiple / repeats(now, replica.zone)));
   }
   return part;
 }
 
-// Tries for each good one, over all replicas that serve.
-double Governor::State::repeats(Nanos now) const {
-  double tries = 1, good = 1;
+// Tries for each good one, over all replicas that serve or those of the zone, whichever is more: where zones
+// keep to themselves one may jam alone.
+double Governor::State::repeats(Nanos now, ZoneId zone) const {
+  double tries = 1, good = 1, zone_all = 1, zone_good = 1;
   for (const auto& [id, replica] : replicas) {
     if (!serves(replica)) continue;
-    tries += replica.tries.read(now);
-    good += replica.tries.read(now) - replica.failed.read(now);
+    const double met = replica.tries.read(now), well = met - replica.failed.read(now);
+    tries += met, good += well;
+    if (replica.zone == zone) zone_all += met, zone_good += well;
   }
-  return tries / good;
+  return std::max(tries / good, zone_all / zone_good);
 }
 
 // Mean use of the replicas that serve, by weight; 0 where no report tells it.
@@ -588,18 +590,23 @@
 // go first.
 std::vector<Lines> Governor::State::compose(Nanos now) const {
   const double home = homeliness(now);
-  std::vector<double> room(zones, 0.0);
+  std::vector<double> room(zones, 0.0), slack(zones, local_slack);
   double demand = 0, capacity = 0;
   for (const auto& [id, replica] : replicas) {
     if (!serves(replica) || static_cast<std::size_t>(replica.zone) >= zones) continue;
     const double weight = replica.listed * replica.step * share(now, replica);
     room[static_cast<std::size_t>(replica.zone)] += weight;
+    // A zone that keeps its jam to itself must not push over what is cold in it.
+    auto& zone_slack = slack[static_cast<std::size_t>(replica.zone)];
+    if (cold(now, replica)) zone_slack = std::min(zone_slack, std::max(0.0, kColdMargin * fall_multiple - 1));
     capacity += weight;
   }
   for (const auto& group : groups) {
     for (const auto& zone_demand : group.demand) demand += zone_demand.read(now);
   }
-  for (auto& zone_room : room) zone_room *= (1 + local_slack) * demand / std::max(1e-9, capacity);
+  for (std::size_t zone = 0; zone < zones; ++zone) {
+    room[zone] *= (1 + slack[zone]) * demand / std::max(1e-9, capacity);
+  }
 
   std::vector<std::size_t> order(groups.size());
   for (std::size_t g = 0; g < order.size(); ++g) order[g] = g;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -128,6 +128,18 @@
   EXPECT_FALSE(scene.host.withdrawn.contains(kSick));
 }
 
+// Found on an overloaded release day: a zone that keeps to itself jams alone while the fleet looks well.
+TEST(Cold, AJamOfItsOwnZoneIsEnoughToHoldIt) {
+  Scene scene;
+  for (int s = 0; s < 3; ++s) scene.second();
+  auto fresh = entry(4, 1);
+  scene.list(entry(4, 1, Phase::gone));
+  fresh.started = scene.host.now;
+  scene.list(fresh);
+  for (int s = 0; s < 4; ++s) scene.second({{1, 8}, {7, 8}, {4, 8}});
+  EXPECT_TRUE(scene.host.withdrawn.contains(kSick));
+}
+
 TEST(Breaker, TripsAReplicaThatFallsSilentWhileOthersReport) {
   Scene scene;
   for (int s = 0; s < 5; ++s) scene.second();
