--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -14,6 +14,7 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <numbers>
 #include <random>
 #include <set>
 #include <string>
@@ -40,7 +41,9 @@
 constexpr double kMostOut = 0.34;      // of listed weight that breakers may hold out at once
 constexpr Nanos kEvidenceHalfLife = 2s;
 constexpr Nanos kUsualHalfLife = 6s;  // of what a replica is usually sent
-constexpr double kSilence = 8;        // tries that others' reports say it must have met, none good: it hangs
+constexpr Nanos kRecentHalfLife = 1500ms;
+constexpr Nanos kYieldHalfLife = 60s;
+constexpr double kSilence = 8;  // tries that others' reports say it must have met, none good: it hangs
 constexpr Nanos kLoadHalfLife = 2s;
 constexpr Nanos kDemandHalfLife = 4s;
 constexpr Nanos kProbeEvery = 2s;                    // for each replica, where loads come no other way
@@ -65,9 +68,9 @@
 constexpr double kShedEase = 0.5;         // given again in one report span, times what is left to crowded
 constexpr double kLeastLetIn = 0.25;      // of the work asked for
 constexpr double kLeastLevel = 0.1;       // no class is shut out
-constexpr double kHoldRepeats = 0.6;  // tries for a good one, of the load that pushes a cold replica over,
-constexpr double kReleaseRepeats = 0.45;  // from which cold ones are held out, and let in again
-constexpr double kColdMargin = 0.5;       // of the load that would push a cold replica over
+constexpr double kHoldRepeats = 0.15;    // tries for a good one, of the load that pushes a cold replica over,
+constexpr double kReleaseRepeats = 0.1;  // from which cold ones are held out, and let in again
+constexpr double kColdMargin = 0.3;      // of the load that would push a cold replica over
 
 constexpr TimerId kRoundTimer{1}, kWatchTimer{2};
 
@@ -138,47 +141,6 @@
 }  // namespace
 
 struct Governor::State {
-  State(const Settings& settings, std::uint64_t seed, Nanos now, Host& to);
-
-  // The breaker.
-  void judge(Nanos now);
-  bool cold(Nanos now, const Replica& replica) const;
-  void hold_cold(Nanos now);
-  double silence(Nanos now, const Replica& replica) const;
-  bool others_serve(const Replica& replica) const;
-  bool may_trip(const Replica& replica) const;
-  void trip(Nanos now, ReplicaId id, Replica& replica);
-  void half_open(Nanos now, ReplicaId id, Replica& replica);
-  void keep_served(Nanos now);
-  void forget_evidence(Nanos now, Replica& replica) const;
-  double share(Nanos now, const Replica& replica) const;
-  double use(Nanos now) const;
-  double pressure(Nanos now) const;
-  void admit(Nanos now);
-  std::vector<double> class_levels(Nanos now) const;
-  double repeats(Nanos now, ZoneId zone) const;
-  void step_loads(Nanos now);
-  double raw_load(Nanos now, const Replica& replica) const;
-  double load_of(Nanos now, const Replica& replica) const;
-
-  // The tables.
-  bool serves(const Replica& replica) const;
-  bool open_to(const Group& group, std::size_t zone, const Replica& replica) const;
-  double homeliness(Nanos now) const;
-  std::vector<Lines> compose(Nanos now) const;
-  TableId table(std::size_t zone, std::size_t group) const;
-
-  // The channel.
-  double waiting(Nanos now);
-  bool may_send(Nanos now, double lines, bool urgent);
-  void sent(Nanos now, double lines);
-  void publish(Nanos now, bool urgent);
-  void bind(Nanos now);
-  void round(Nanos now);
-  void ask_loads(Nanos now);
-  void take_load(Nanos now, Replica& replica, const std::vector<float>& load) const;
-  void take_entry(Nanos now, const ListEntry& entry, bool at_start);
-
   Host& host;
   std::mt19937 chance;
   const bool tables_are_ours;  // without slices
@@ -207,680 +169,732 @@
   std::map<ProxyId, Proxy> proxies;
   std::vector<Lines> standing;  // as ordered, by table
   Nanos next_publish{}, next_step{};
-  std::vector<DecayingSum> zone_usual;
+  std::vector<DecayingSum> zone_usual, zone_recent;
+  double best_yield = 0;
   std::vector<double> zone_tries;  // counted up since the start
   std::deque<Nanos> messages;      // when orders went to all, within the window
   double queued = 0;               // lines we believe to wait
   Nanos queued_at{};
   bool hurry = false;
   int list_failures = 0;
-};
 
-Governor::State::State(const Settings& s, std::uint64_t seed, Nanos now, Host& to)
-    : host(to),
-      chance(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))),
-      tables_are_ours(s.slices == 0),
-      asks_for_list(s.list_by_asking),
-      only_draining_binds(s.only_draining_binds),
-      zones(std::max<std::size_t>(s.zones, 1)),
-      round_every(std::max<Nanos>(s.report_every / 2, 100ms)),
-      publish_every(std::max<Nanos>(
-          s.report_every, s.messages_allowed == 0
-                              ? Nanos{}
-                              : Nanos(static_cast<Nanos::rep>(s.messages_window.count() /
-                                                              (kOrdinaryMessages * s.messages_allowed))))),
-      message_time(s.message_time),
-      sums_lag(s.report_every + s.message_time),
-      lines_per_second(std::max(1.0, s.channel_lines_per_second * kChannelShare)),
-      most_waiting(s.channel_most_waiting),
-      head(s.message_head_lines),
-      messages_allowed(s.messages_allowed),
-      messages_window(s.messages_window),
-      local_slack(s.picking == Picking::two ? kChoosyLocalSlack : kLocalSlack),
-      cold_share(std::clamp(s.cold_share, 0.01, 1.0)),
-      cold_time(std::max<Nanos>(s.cold_time, 1ms)),
-      fall_multiple(s.fall_multiple),
-      may_shed(s.admission == Admission::share && s.slices == 0),
-      class_demand(s.classes.size(), DecayingSum{kDemandHalfLife}),
-      next_admit(now),
-      levels(s.classes.size(), 1.0),
-      next_publish(now),
-      next_step(now + kStepEvery),
-      queued_at(now) {
-  for (const auto& cls : s.classes) {
-    // Nobody tells the work of a class; those who ask allow more time for what takes longer.
-    class_work.push_back(std::max(1e-3, seconds(cls.target_time)));
-    class_payoff.push_back(cls.payoff / class_work.back());
-    const auto same = [&](const Group& group) {
-      return group.home_only == cls.home_only && group.zones == cls.only_zones &&
-             group.kinds == cls.only_kinds;
-    };
-    auto at = std::find_if(groups.begin(), groups.end(), same);
-    if (at == groups.end()) {
-      groups.push_back({0, cls.home_only, cls.only_zones, cls.only_kinds,
-                        std::vector<DecayingSum>(zones, DecayingSum{kDemandHalfLife})});
-      at = groups.end() - 1;
-    }
-    at->classes = static_cast<ClassMask>(at->classes | (1u << (class_work.size() - 1)));
-    class_group.push_back(static_cast<std::size_t>(at - groups.begin()));
-  }
-  for (const auto wanted : {LoadColumn::util, LoadColumn::inflight, LoadColumn::queue}) {
-    const auto at = std::find(s.load_columns.begin(), s.load_columns.end(), wanted);
-    if (load_column || at == s.load_columns.end() || s.reporting == Reporting::none) continue;
-    load_column = static_cast<std::size_t>(at - s.load_columns.begin());
-    load_is_per_size = wanted != LoadColumn::util;
-  }
-  probes_for_load = s.reporting == Reporting::by_probe && s.may_probe && load_column;
-  if (s.reporting == Reporting::by_probe && !s.may_probe) load_column.reset();
-  zone_usual.assign(zones, DecayingSum{kUsualHalfLife});
-  zone_tries.assign(zones, 0.0);
-  standing.resize(zones * groups.size());
-  if (asks_for_list) host.watch_list(true);
-  host.arm(round_every, kRoundTimer);
-}
+  State(const Settings& s, std::uint64_t seed, Nanos now, Host& to)
+      : host(to),
+        chance(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))),
+        tables_are_ours(s.slices == 0),
+        asks_for_list(s.list_by_asking),
+        only_draining_binds(s.only_draining_binds),
+        zones(std::max<std::size_t>(s.zones, 1)),
+        round_every(std::max<Nanos>(s.report_every / 2, 100ms)),
+        publish_every(std::max<Nanos>(
+            s.report_every, s.messages_allowed == 0
+                                ? Nanos{}
+                                : Nanos(static_cast<Nanos::rep>(s.messages_window.count() /
+                                                                (kOrdinaryMessages * s.messages_allowed))))),
+        message_time(s.message_time),
+        sums_lag(s.report_every + s.message_time),
+        lines_per_second(std::max(1.0, s.channel_lines_per_second * kChannelShare)),
+        most_waiting(s.channel_most_waiting),
+        head(s.message_head_lines),
+        messages_allowed(s.messages_allowed),
+        messages_window(s.messages_window),
+        local_slack(s.picking == Picking::two ? kChoosyLocalSlack : kLocalSlack),
+        cold_share(std::clamp(s.cold_share, 0.01, 1.0)),
+        cold_time(std::max<Nanos>(s.cold_time, 1ms)),
+        fall_multiple(s.fall_multiple),
+        may_shed(s.admission == Admission::share && s.slices == 0),
+        class_demand(s.classes.size(), DecayingSum{kDemandHalfLife}),
+        next_admit(now),
+        levels(s.classes.size(), 1.0),
+        next_publish(now),
+        next_step(now + kStepEvery),
+        queued_at(now) {
+    for (const auto& cls : s.classes) {
+      // Nobody tells the work of a class; those who ask allow more time for what takes longer.
+      class_work.push_back(std::max(1e-3, seconds(cls.target_time)));
+      class_payoff.push_back(cls.payoff / class_work.back());
+      const auto same = [&](const Group& group) {
+        return group.home_only == cls.home_only && group.zones == cls.only_zones &&
+               group.kinds == cls.only_kinds;
+      };
+      auto at = std::find_if(groups.begin(), groups.end(), same);
+      if (at == groups.end()) {
+        groups.push_back({0, cls.home_only, cls.only_zones, cls.only_kinds,
+                          std::vector<DecayingSum>(zones, DecayingSum{kDemandHalfLife})});
+        at = groups.end() - 1;
+      }
+      at->classes = static_cast<ClassMask>(at->classes | (1u << (class_work.size() - 1)));
+      class_group.push_back(static_cast<std::size_t>(at - groups.begin()));
+    }
+    for (const auto wanted : {LoadColumn::util, LoadColumn::inflight, LoadColumn::queue}) {
+      const auto at = std::find(s.load_columns.begin(), s.load_columns.end(), wanted);
+      if (load_column || at == s.load_columns.end() || s.reporting == Reporting::none) continue;
+      load_column = static_cast<std::size_t>(at - s.load_columns.begin());
+      load_is_per_size = wanted != LoadColumn::util;
+    }
+    probes_for_load = s.reporting == Reporting::by_probe && s.may_probe && load_column;
+    if (s.reporting == Reporting::by_probe && !s.may_probe) load_column.reset();
+    zone_usual.assign(zones, DecayingSum{kUsualHalfLife});
+    zone_recent.assign(zones, DecayingSum{kRecentHalfLife});
+    zone_tries.assign(zones, 0.0);
+    standing.resize(zones * groups.size());
+    if (asks_for_list) host.watch_list(true);
+    host.arm(round_every, kRoundTimer);
+  }
 
-// --- The breaker
+  // --- The breaker
 
-bool Governor::State::serves(const Replica& replica) const {
-  return replica.phase == Phase::ready && replica.breaker != Breaker::open && !replica.held;
-}
+  bool serves(const Replica& replica) const {
+    return replica.phase == Phase::ready && replica.breaker != Breaker::open && !replica.held;
+  }
 
-// Sums that reach us now were counted before the change that we answer them for.
-void Governor::State::forget_evidence(Nanos now, Replica& replica) const {
-  for (auto* sum : {&replica.tries, &replica.failed, &replica.time_sum, &replica.time_count,
-                    &replica.load_sum, &replica.load_count}) {
-    sum->clear();
+  // Sums that reach us now were counted before the change that we answer them for.
+  void forget_evidence(Nanos now, Replica& replica) const {
+    for (auto* sum : {&replica.tries, &replica.failed, &replica.time_sum, &replica.time_count,
+                      &replica.load_sum, &replica.load_count}) {
+      sum->clear();
+    }
+    for (auto& zone_sum : replica.usual) zone_sum.clear();
+    replica.sound_tries = 0;
+    replica.evidence_from = now + sums_lag;
+  }
+
+  // Guards against many trips at once when all are slow together or a fault strikes widely: what is left
+  // would be crushed. Also keeps every group of classes a replica, in every zone that may use it.
+  bool may_trip(const Replica& replica) const {
+    double listed = 0, out = replica.listed;
+    for (const auto& [id, other] : replicas) {
+      if (other.phase != Phase::ready) continue;
+      listed += other.listed;
+      if (other.breaker == Breaker::open) out += other.listed;
+    }
+    return out <= kMostOut * listed && others_serve(replica);
   }
-  for (auto& zone_sum : replica.usual) zone_sum.clear();
-  replica.sound_tries = 0;
-  replica.evidence_from = now + sums_lag;
-}
 
-// Guards against many trips at once when all are slow together or a fault strikes widely: what is left would
-// be crushed. Also keeps every group of classes a replica, in every zone that may use it.
-bool Governor::State::may_trip(const Replica& replica) const {
-  double listed = 0, out = replica.listed;
-  for (const auto& [id, other] : replicas) {
-    if (other.phase != Phase::ready) continue;
-    listed += other.listed;
-    if (other.breaker == Breaker::open) out += other.listed;
+  bool others_serve(const Replica& replica) const {
+    for (const auto& group : groups) {
+      for (std::size_t zone = 0; zone < zones; ++zone) {
+        if (!open_to(group, zone, replica)) continue;
+        const bool other_left = std::any_of(replicas.begin(), replicas.end(), [&](const auto& other) {
+          return &other.second != &replica && serves(other.second) && open_to(group, zone, other.second);
+        });
+        if (!other_left) return false;
+      }
+    }
+    return true;
   }
-  return out <= kMostOut * listed && others_serve(replica);
-}
 
-bool Governor::State::others_serve(const Replica& replica) const {
-  for (const auto& group : groups) {
+  // How many tries a replica must have met, by its usual part of what each zone reports, since one of them
+  // last went well. Guards against what hangs or vanishes: its tries are counted only when they time out, so
+  // for seconds it just falls silent. Late or missing reports of all do not count, nor do those of one zone.
+  double silence(Nanos now, const Replica& replica) const {
+    double missed = 0;
     for (std::size_t zone = 0; zone < zones; ++zone) {
-      if (!open_to(group, zone, replica)) continue;
-      const bool other_left = std::any_of(replicas.begin(), replicas.end(), [&](const auto& other) {
-        return &other.second != &replica && serves(other.second) && open_to(group, zone, other.second);
-      });
-      if (!other_left) return false;
+      const double part = replica.usual[zone].read(now) / std::max(1.0, zone_usual[zone].read(now));
+      missed += part * (zone_tries[zone] - replica.heard[zone]);
+    }
+    return missed;
+  }
+
+  void trip(Nanos now, ReplicaId id, Replica& replica) {
+    // A replica that fails soon after it closed has not recovered: its cooldown goes on doubling.
+    const bool repeat = replica.breaker == Breaker::half_open || now < replica.proven_until;
+    replica.cooldown = repeat ? std::min(2 * replica.cooldown, kCooldownCap) : kCooldown;
+    replica.breaker = Breaker::open;
+    replica.reopens = now + replica.cooldown;
+    host.log("trip " + name(id) + " for " + std::to_string(replica.cooldown / 1ms) + " ms");
+    hurry = true;
+  }
+
+  void half_open(Nanos now, ReplicaId id, Replica& replica) {
+    replica.breaker = Breaker::half_open;
+    replica.returned = now;
+    replica.window_ends = now + kConfirmWindow;
+    replica.anchored.reset();
+    forget_evidence(now, replica);
+    host.log("half-open " + name(id));
+  }
+
+  bool cold(Nanos now, const Replica& replica) const {
+    return replica.started && now < *replica.started + cold_time;
+  }
+
+  // Guards cold replicas against a jam. Where most tries fail, proxies shun what failed them and come down on
+  // the newest line whatever its weight, so no weight is small enough; what is cold stays out until the jam
+  // is over or it is warm, as long as something else serves each group of classes.
+  void hold_cold(Nanos now) {
+    for (auto& [id, replica] : replicas) {
+      if (replica.phase != Phase::ready) continue;
+      const double tries = repeats(now, replica.zone);
+      if (replica.held) {
+        if (cold(now, replica) && tries > 1 + kReleaseRepeats * (fall_multiple - 1)) continue;
+        replica.held = false;
+        host.log("release " + name(id));
+        if (replica.breaker != Breaker::open) half_open(now, id, replica);
+      } else if (cold(now, replica) && serves(replica) && tries > 1 + kHoldRepeats * (fall_multiple - 1) &&
+                 others_serve(replica)) {
+        replica.held = true;
+        host.log("hold cold " + name(id));
+        hurry = true;
+      }
     }
   }
-  return true;
-}
 
-// How many tries a replica must have met, by its usual part of what each zone reports, since one of them last
-// went well. Guards against what hangs or vanishes: its tries are counted only when they time out, so for
-// seconds it just falls silent. Late or missing reports of all do not count, nor do those of one zone.
-double Governor::State::silence(Nanos now, const Replica& replica) const {
-  double missed = 0;
-  for (std::size_t zone = 0; zone < zones; ++zone) {
-    const double part = replica.usual[zone].read(now) / std::max(1.0, zone_usual[zone].read(now));
-    missed += part * (zone_tries[zone] - replica.heard[zone]);
+  void judge(Nanos now) {
+    double all_tries = 0, all_failed = 0, all_weight = 0, loads = 0, reporting = 0;
+    for (const auto& [id, replica] : replicas) {
+      if (!serves(replica)) continue;
+      all_tries += replica.tries.read(now);
+      all_failed += replica.failed.read(now);
+      if (raw_load(now, replica) >= 0) loads += raw_load(now, replica), reporting += 1;
+      all_weight += replica.listed * replica.step * share(now, replica);
+    }
+    for (auto& [id, replica] : replicas) {
+      if (replica.did_well) replica.heard = zone_tries;
+      replica.did_well = false;
+      if (replica.phase != Phase::ready) continue;
+      if (replica.breaker == Breaker::open) {
+        if (now >= replica.reopens) half_open(now, id, replica);
+        continue;
+      }
+      const double tries = replica.tries.read(now), failed = replica.failed.read(now);
+      // Against overload looking like sickness: what fails everywhere is no replica's own fault.
+      const double others = (all_failed - failed) / std::max(1.0, all_tries - tries);
+      const bool on_trial = replica.breaker == Breaker::half_open;
+      // A replica that is only full still handles its part, or reports the load that keeps it from doing so;
+      // one that is sick handles far less than the others, and is idle or dumb meanwhile.
+      const double full_load = std::max(loads / std::max(1.0, reporting), load_is_per_size ? 0 : kFullEnough);
+      const bool full = raw_load(now, replica) >= full_load && tries - failed > kAlive * tries;
+      const double part = replica.listed * replica.step * share(now, replica) / std::max(1e-9, all_weight);
+      const bool handles_its_part =
+          tries - failed > std::max(kSickYield, 1 - 3 * others) * part * (all_tries - all_failed);
+      const bool failing = (failed > tries * (kTripShare + others) && !handles_its_part && !full &&
+                            failed >= (on_trial ? kRetripFailures : kTripFailures)) ||
+                           silence(now, replica) >= kSilence;
+      if (failing && may_trip(replica)) {
+        trip(now, id, replica);
+        continue;
+      }
+      if (!on_trial || failing) continue;
+      const bool sound = replica.sound_tries >= kSoundTries;
+      if (sound && !replica.anchored) replica.anchored = now;
+      if (now < replica.window_ends) continue;
+      if (sound) {
+        replica.breaker = Breaker::closed;
+        replica.proven_until = now + kClimb + kConfirmWindow;
+        host.log("close " + name(id));
+      } else {
+        replica.window_ends = now + kConfirmWindow;
+      }
+    }
   }
-  return missed;
-}
-
-void Governor::State::trip(Nanos now, ReplicaId id, Replica& replica) {
-  // A replica that fails soon after it closed has not recovered: its cooldown goes on doubling.
-  const bool repeat = replica.breaker == Breaker::half_open || now < replica.proven_until;
-  replica.cooldown = repeat ? std::min(2 * replica.cooldown, kCooldownCap) : kCooldown;
-  replica.breaker = Breaker::open;
-  replica.reopens = now + replica.cooldown;
-  host.log("trip " + name(id) + " for " + std::to_string(replica.cooldown / 1ms) + " ms");
-  hurry = true;
-}
-
-void Governor::State::half_open(Nanos now, ReplicaId id, Replica& replica) {
-  replica.breaker = Breaker::half_open;
-  replica.returned = now;
-  replica.window_ends = now + kConfirmWindow;
-  replica.anchored.reset();
-  forget_evidence(now, replica);
-  host.log("half-open " + name(id));
-}
-
-bool Governor::State::cold(Nanos now, const Replica& replica) const {
-  return replica.started && now < *replica.started + cold_time;
-}
 
-// Guards cold replicas against a jam. Where most tries fail, proxies shun what failed them and come down on
-// the newest line whatever its weight, so no weight is small enough; what is cold stays out until the jam is
-// over or it is warm, as long as something else serves each group of classes.
-void Governor::State::hold_cold(Nanos now) {
-  for (auto& [id, replica] : replicas) {
-    if (replica.phase != Phase::ready) continue;
-    const double tries = repeats(now, replica.zone);
-    if (replica.held) {
-      if (cold(now, replica) && tries > kReleaseRepeats * fall_multiple) continue;
-      replica.held = false;
-      host.log("release " + name(id));
-      if (replica.breaker != Breaker::open) half_open(now, id, replica);
-    } else if (cold(now, replica) && serves(replica) && tries > kHoldRepeats * fall_multiple &&
-               others_serve(replica)) {
-      replica.held = true;
-      host.log("hold cold " + name(id));
-      hurry = true;
+  // The part of its full capacity that a replica is sure to have by now, warming no slower than evenly.
+  double sure(Nanos now, const Replica& replica) const {
+    if (!cold(now, replica)) return 1;
+    const double age = std::max(0.0, seconds(now - *replica.started) / seconds(cold_time));
+    return cold_share + (1 - cold_share) * age;
+  }
+
+  // The part of its listed weight that a replica is given: the ratchet, and for a cold one never more than
+  // the capacity it is sure to have by now, so that every table together brings it no more than a warm one
+  // its load.
+  double share(Nanos now, const Replica& replica) const {
+    double part = 1;
+    if (replica.anchored) {
+      const double climbed = seconds(now - *replica.anchored) / seconds(kClimb);
+      part = std::min(1.0, kFloor * kAnchor + (1 - kFloor * kAnchor) * climbed);
+    } else if (replica.breaker == Breaker::half_open) {
+      part = kFloor;
+    }
+    if (cold(now, replica)) {
+      part = std::min(part, sure(now, replica));
     }
+    return part;
+  }
+
+  // Tries for each good one, over all replicas that serve or those of the zone, whichever is more: where
+  // zones keep to themselves one may jam alone.
+  double repeats(Nanos now, ZoneId zone) const {
+    double tries = 1, good = 1, zone_all = 1, zone_good = 1;
+    for (const auto& [id, replica] : replicas) {
+      if (!serves(replica)) continue;
+      const double met = replica.tries.read(now), well = met - replica.failed.read(now);
+      tries += met, good += well;
+      if (replica.zone == zone) zone_all += met, zone_good += well;
+    }
+    return std::max(tries / good, zone_all / zone_good);
   }
-}
 
-void Governor::State::judge(Nanos now) {
-  double all_tries = 0, all_failed = 0, all_weight = 0, loads = 0, reporting = 0;
-  for (const auto& [id, replica] : replicas) {
-    if (!serves(replica)) continue;
-    all_tries += replica.tries.read(now);
-    all_failed += replica.failed.read(now);
-    if (raw_load(now, replica) >= 0) loads += raw_load(now, replica), reporting += 1;
-    all_weight += replica.listed * replica.step * share(now, replica);
-  }
-  for (auto& [id, replica] : replicas) {
-    if (replica.did_well) replica.heard = zone_tries;
-    replica.did_well = false;
-    if (replica.phase != Phase::ready) continue;
-    if (replica.breaker == Breaker::open) {
-      if (now >= replica.reopens) half_open(now, id, replica);
-      continue;
-    }
-    const double tries = replica.tries.read(now), failed = replica.failed.read(now);
-    // Against overload looking like sickness: what fails everywhere is no replica's own fault.
-    const double others = (all_failed - failed) / std::max(1.0, all_tries - tries);
-    const bool on_trial = replica.breaker == Breaker::half_open;
-    // A replica that is only full still handles its part, or reports the load that keeps it from doing so;
-    // one that is sick handles far less than the others, and is idle or dumb meanwhile.
-    const double full_load = std::max(loads / std::max(1.0, reporting), load_is_per_size ? 0 : kFullEnough);
-    const bool full = raw_load(now, replica) >= full_load && tries - failed > kAlive * tries;
-    const double part = replica.listed * replica.step * share(now, replica) / std::max(1e-9, all_weight);
-    const bool handles_its_part =
-        tries - failed > std::max(kSickYield, 1 - 3 * others) * part * (all_tries - all_failed);
-    const bool failing = (failed > tries * (kTripShare + others) && !handles_its_part && !full &&
-                          failed >= (on_trial ? kRetripFailures : kTripFailures)) ||
-                         silence(now, replica) >= kSilence;
-    if (failing && may_trip(replica)) {
-      trip(now, id, replica);
-      continue;
-    }
-    if (!on_trial || failing) continue;
-    const bool sound = replica.sound_tries >= kSoundTries;
-    if (sound && !replica.anchored) replica.anchored = now;
-    if (now < replica.window_ends) continue;
-    if (sound) {
-      replica.breaker = Breaker::closed;
-      replica.proven_until = now + kClimb + kConfirmWindow;
-      host.log("close " + name(id));
-    } else {
-      replica.window_ends = now + kConfirmWindow;
+  // Mean use of the replicas that serve, by weight; 0 where no report tells it.
+  double use(Nanos now) const {
+    double used = 0, size = 0;
+    for (const auto& [id, replica] : replicas) {
+      const double load = raw_load(now, replica), weight = replica.listed * replica.step;
+      if (!serves(replica) || load < 0) continue;
+      used += load * weight;
+      size += weight;
     }
+    return load_is_per_size || size <= 0 ? 0 : used / size;
   }
-}
 
-// The part of its listed weight that a replica is given: the ratchet, and for a cold one never more than the
-// capacity it is sure to have by now, so that every table together brings it no more than a warm one its
-// load.
-double Governor::State::share(Nanos now, const Replica& replica) const {
-  double part = 1;
-  if (replica.anchored) {
-    const double climbed = seconds(now - *replica.anchored) / seconds(kClimb);
-    part = std::min(1.0, kFloor * kAnchor + (1 - kFloor * kAnchor) * climbed);
-  } else if (replica.breaker == Breaker::half_open) {
-    part = kFloor;
-  }
-  if (cold(now, replica)) {
-    const double age = std::max(0.0, seconds(now - *replica.started) / seconds(cold_time));
-    const double sure = cold_share + (1 - cold_share) * age;
-    // Repeats multiply what every line is sent, and a cold replica falls by what is sent, not by what it
-    // takes.
-    part = std::min(part, sure * std::min(1.0, kColdMargin * fall_multiple / repeats(now, replica.zone)));
+  // How crowded the middle replica is; above 1 is too much. The middle one, as a fault of a few is not too
+  // much work.
+  double pressure(Nanos now) const {
+    double work = 0, operations = 0;
+    for (std::size_t k = 0; k < class_work.size(); ++k) {
+      work += class_demand[k].read(now) * class_work[k];
+      operations += class_demand[k].read(now);
+    }
+    const double target = operations > 0 ? work / operations : 1;
+    std::vector<double> crowded;
+    for (const auto& [id, replica] : replicas) {
+      const double tries = replica.tries.read(now), times = replica.time_count.read(now);
+      if (!serves(replica) || tries < 1) continue;
+      const double time = times > 0.5 ? replica.time_sum.read(now) / times : 0;
+      crowded.push_back(
+          std::max(replica.failed.read(now) / tries / kCrowdedFailing, time / (kCrowdedTime * target)));
+    }
+    // Use is full before anything is late.
+    const double full = 1 + (use(now) - kFullEnough) / (1 - kFullEnough);
+    if (crowded.empty()) return std::max(0.0, full);
+    const auto middle = crowded.begin() + static_cast<std::ptrdiff_t>(crowded.size() / 2);
+    std::nth_element(crowded.begin(), middle, crowded.end());
+    return std::max(*middle, full);
+  }
+
+  // When most replicas are crowded, more tries only add repeats, and all are late. What is let in shrinks at
+  // once and grows slowly; the class with the least payoff for its work gives way first.
+  void admit(Nanos now) {
+    if (!may_shed || now < next_admit) return;
+    next_admit = now + 2 * round_every;
+    const double crowded = pressure(now);
+    let_in = crowded > 1 ? let_in * (1 - kShedMost * std::min(1.0, crowded - 1))
+                         : let_in + kShedEase * (1 - crowded);
+    let_in = std::clamp(let_in, kLeastLetIn, 1.0);
+  }
+
+  std::vector<double> class_levels(Nanos now) const {
+    std::vector<double> wanted(levels.size(), 1.0);
+    if (let_in >= 1) return wanted;
+    std::vector<std::size_t> order(levels.size());
+    double budget = 0;
+    for (std::size_t k = 0; k < order.size(); ++k) {
+      order[k] = k;
+      budget += let_in * class_demand[k].read(now) * class_work[k];
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [&](std::size_t a, std::size_t b) { return class_payoff[a] > class_payoff[b]; });
+    for (const auto k : order) {
+      const double work = std::max(1e-9, class_demand[k].read(now) * class_work[k]);
+      wanted[k] = std::clamp(budget / work, kLeastLevel, 1.0);
+      budget = std::max(0.0, budget - work);
+    }
+    return wanted;
   }
-  return part;
-}
-
-// Tries for each good one, over all replicas that serve or those of the zone, whichever is more: where zones
-// keep to themselves one may jam alone.
-double Governor::State::repeats(Nanos now, ZoneId zone) const {
-  double tries = 1, good = 1, zone_all = 1, zone_good = 1;
-  for (const auto& [id, replica] : replicas) {
-    if (!serves(replica)) continue;
-    const double met = replica.tries.read(now), well = met - replica.failed.read(now);
-    tries += met, good += well;
-    if (replica.zone == zone) zone_all += met, zone_good += well;
-  }
-  return std::max(tries / good, zone_all / zone_good);
-}
 
-// Mean use of the replicas that serve, by weight; 0 where no report tells it.
-double Governor::State::use(Nanos now) const {
-  double used = 0, size = 0;
-  for (const auto& [id, replica] : replicas) {
-    const double load = raw_load(now, replica), weight = replica.listed * replica.step;
-    if (!serves(replica) || load < 0) continue;
-    used += load * weight;
-    size += weight;
+  double raw_load(Nanos now, const Replica& replica) const {
+    const double reports = replica.load_count.read(now);
+    if (!load_column || reports < 0.2) return -1;
+    return replica.load_sum.read(now) / reports / (load_is_per_size ? std::max(1e-6, replica.listed) : 1);
   }
-  return load_is_per_size || size <= 0 ? 0 : used / size;
-}
-
-// How crowded the middle replica is; above 1 is too much. The middle one, as a fault of a few is not too much
-// work.
-double Governor::State::pressure(Nanos now) const {
-  double work = 0, operations = 0;
-  for (std::size_t k = 0; k < class_work.size(); ++k) {
-    work += class_demand[k].read(now) * class_work[k];
-    operations += class_demand[k].read(now);
-  }
-  const double target = operations > 0 ? work / operations : 1;
-  std::vector<double> crowded;
-  for (const auto& [id, replica] : replicas) {
-    const double tries = replica.tries.read(now), times = replica.time_count.read(now);
-    if (!serves(replica) || tries < 1) continue;
-    const double time = times > 0.5 ? replica.time_sum.read(now) / times : 0;
-    crowded.push_back(
-        std::max(replica.failed.read(now) / tries / kCrowdedFailing, time / (kCrowdedTime * target)));
-  }
-  // Use is full before anything is late.
-  const double full = 1 + (use(now) - kFullEnough) / (1 - kFullEnough);
-  if (crowded.empty()) return std::max(0.0, full);
-  const auto middle = crowded.begin() + static_cast<std::ptrdiff_t>(crowded.size() / 2);
-  std::nth_element(crowded.begin(), middle, crowded.end());
-  return std::max(*middle, full);
-}
 
-// When most replicas are crowded, more tries only add repeats, and all are late. What is let in shrinks at
-// once and grows slowly; the class with the least payoff for its work gives way first.
-void Governor::State::admit(Nanos now) {
-  if (!may_shed || now < next_admit) return;
-  next_admit = now + 2 * round_every;
-  const double crowded = pressure(now);
-  let_in = crowded > 1 ? let_in * (1 - kShedMost * std::min(1.0, crowded - 1))
-                       : let_in + kShedEase * (1 - crowded);
-  let_in = std::clamp(let_in, kLeastLetIn, 1.0);
-}
-
-std::vector<double> Governor::State::class_levels(Nanos now) const {
-  std::vector<double> wanted(levels.size(), 1.0);
-  if (let_in >= 1) return wanted;
-  std::vector<std::size_t> order(levels.size());
-  double budget = 0;
-  for (std::size_t k = 0; k < order.size(); ++k) {
-    order[k] = k;
-    budget += let_in * class_demand[k].read(now) * class_work[k];
-  }
-  std::stable_sort(order.begin(), order.end(),
-                   [&](std::size_t a, std::size_t b) { return class_payoff[a] > class_payoff[b]; });
-  for (const auto k : order) {
-    const double work = std::max(1e-9, class_demand[k].read(now) * class_work[k]);
-    wanted[k] = std::clamp(budget / work, kLeastLevel, 1.0);
-    budget = std::max(0.0, budget - work);
-  }
-  return wanted;
-}
-
-double Governor::State::raw_load(Nanos now, const Replica& replica) const {
-  const double reports = replica.load_count.read(now);
-  if (!load_column || reports < 0.2) return -1;
-  return replica.load_sum.read(now) / reports / (load_is_per_size ? std::max(1e-6, replica.listed) : 1);
-}
-
-double Governor::State::load_of(Nanos now, const Replica& replica) const {
-  const double times = replica.time_count.read(now), load = raw_load(now, replica);
-  const double time = times < 0.2 ? -1 : replica.time_sum.read(now) / times;
-  if (!load_column) return time;
-  if (load < 0 || load_is_per_size) return load;
-  // Use stops at full while a queue goes on growing; only the time tells then which replica has the longer
-  // one.
-  return time > 0 ? load * std::sqrt(time) : load;
-}
-
-void Governor::State::step_loads(Nanos now) {
-  if (now < next_step) return;
-  next_step = now + kStepEvery;
-  double sum = 0, count = 0;
-  for (const auto& [id, replica] : replicas) {
-    const double load = load_of(now, replica);
-    if (replica.phase != Phase::ready || replica.breaker != Breaker::closed || load < 0) continue;
-    sum += load, count += 1;
-  }
-  if (count < 2) return;
-  const double mean = sum / count;
-  for (auto& [id, replica] : replicas) {
-    const double load = load_of(now, replica);
-    if (replica.phase != Phase::ready || replica.breaker != Breaker::closed || load < 0) continue;
-    if (std::abs(load - mean) <= kStepBand * mean) continue;
-    const double factor = std::clamp(std::sqrt(mean / std::max(load, 1e-6)), 1 / kStepMost, kStepMost);
-    replica.step = std::clamp(replica.step * factor, kStepLeast, kStepTop);
+  double load_of(Nanos now, const Replica& replica) const {
+    const double times = replica.time_count.read(now), load = raw_load(now, replica);
+    const double time = times < 0.2 ? -1 : replica.time_sum.read(now) / times;
+    if (!load_column) return time;
+    if (load < 0 || load_is_per_size) return load;
+    // Use stops at full while a queue goes on growing; only the time tells then which replica has the longer
+    // one.
+    return time > 0 ? load * std::sqrt(time) : load;
   }
-}
-
-// --- The tables
 
-TableId Governor::State::table(std::size_t zone, std::size_t group) const {
-  return TableId{static_cast<std::uint16_t>(zone * groups.size() + group)};
-}
+  void step_loads(Nanos now) {
+    if (now < next_step) return;
+    next_step = now + kStepEvery;
+    double sum = 0, count = 0;
+    for (const auto& [id, replica] : replicas) {
+      const double load = load_of(now, replica);
+      if (replica.phase != Phase::ready || replica.breaker != Breaker::closed || load < 0) continue;
+      sum += load, count += 1;
+    }
+    if (count < 2) return;
+    const double mean = sum / count;
+    for (auto& [id, replica] : replicas) {
+      const double load = load_of(now, replica);
+      if (replica.phase != Phase::ready || replica.breaker != Breaker::closed || load < 0) continue;
+      if (std::abs(load - mean) <= kStepBand * mean) continue;
+      const double factor = std::clamp(std::sqrt(mean / std::max(load, 1e-6)), 1 / kStepMost, kStepMost);
+      replica.step = std::clamp(replica.step * factor, kStepLeast, kStepTop);
+    }
+  }
 
-bool Governor::State::open_to(const Group& group, std::size_t zone, const Replica& replica) const {
-  const auto has = [](const auto& list, auto id) {
-    return list.empty() || std::find(list.begin(), list.end(), id) != list.end();
-  };
-  if (group.home_only && static_cast<std::size_t>(replica.zone) != zone) return false;
-  return has(group.zones, replica.zone) && has(group.kinds, replica.kind);
-}
+  // --- The tables
 
-// How far a zone's proxies keep to their own zone. Demand is known late and moves meanwhile, and a zone that
-// keeps to itself takes the whole of the surprise; the fuller the replicas, the more of it all must share.
-double Governor::State::homeliness(Nanos now) const {
-  const double used = use(now);
-  return used <= 0 ? 1 : std::clamp((kFullEnough / used - 1) / kDemandSurprise, 0.0, 1.0);
-}
+  TableId table(std::size_t zone, std::size_t group) const {
+    return TableId{static_cast<std::uint16_t>(zone * groups.size() + group)};
+  }
 
-// Whom a table serves is ours to settle: each zone's proxies keep to their own zone as far as it has room,
-// and what is over goes where room is left. Room is judged against the mean load of all, so a zone full of
-// cold or withdrawn replicas spills and a quiet one takes more. Groups with the fewest zones to choose from
-// go first.
-std::vector<Lines> Governor::State::compose(Nanos now) const {
-  const double home = homeliness(now);
-  std::vector<double> room(zones, 0.0), slack(zones, local_slack);
-  double demand = 0, capacity = 0;
-  for (const auto& [id, replica] : replicas) {
-    if (!serves(replica) || static_cast<std::size_t>(replica.zone) >= zones) continue;
-    const double weight = replica.listed * replica.step * share(now, replica);
-    room[static_cast<std::size_t>(replica.zone)] += weight;
-    // A zone that keeps its jam to itself must not push over what is cold in it.
-    auto& zone_slack = slack[static_cast<std::size_t>(replica.zone)];
-    if (cold(now, replica)) zone_slack = std::min(zone_slack, std::max(0.0, kColdMargin * fall_multiple - 1));
-    capacity += weight;
-  }
-  for (const auto& group : groups) {
-    for (const auto& zone_demand : group.demand) demand += zone_demand.read(now);
-  }
-  for (std::size_t zone = 0; zone < zones; ++zone) {
-    room[zone] *= (1 + slack[zone]) * demand / std::max(1e-9, capacity);
-  }
-
-  std::vector<std::size_t> order(groups.size());
-  for (std::size_t g = 0; g < order.size(); ++g) order[g] = g;
-  std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-    const auto choice = [&](const Group& group) {
-      return group.home_only ? 1 : group.zones.empty() ? zones : group.zones.size();
-    };
-    return choice(groups[a]) < choice(groups[b]);
-  });
-
-  std::vector<Lines> lines(standing.size());
-  std::vector<double> taken(zones, 0.0);
-  for (const auto g : order) {
-    const auto& group = groups[g];
-    // What this group may use of each zone, by the zone of the proxies.
-    const auto usable = [&](std::size_t from, std::size_t to) {
-      double weight = 0;
-      for (const auto& [id, replica] : replicas) {
-        if (static_cast<std::size_t>(replica.zone) != to || !serves(replica)) continue;
-        if (open_to(group, from, replica)) weight += replica.listed * replica.step * share(now, replica);
-      }
-      return weight;
+  bool open_to(const Group& group, std::size_t zone, const Replica& replica) const {
+    const auto has = [](const auto& list, auto id) {
+      return list.empty() || std::find(list.begin(), list.end(), id) != list.end();
     };
-    std::vector<double> left(zones);
-    std::vector<std::vector<double>> flow(zones, std::vector<double>(zones, 0.0));
-    for (std::size_t zone = 0; zone < zones; ++zone) {
-      left[zone] = std::max(1e-9, group.demand[zone].read(now));
-      if (usable(zone, zone) <= 0) continue;
-      flow[zone][zone] = std::min(left[zone], room[zone]);
-      room[zone] -= flow[zone][zone];
+    if (group.home_only && static_cast<std::size_t>(replica.zone) != zone) return false;
+    return has(group.zones, replica.zone) && has(group.kinds, replica.kind);
+  }
+
+  // How far a zone's proxies keep to their own zone. Demand is known late and moves meanwhile, and a zone
+  // that keeps to itself takes the whole of the surprise; the fuller the replicas, the more of it all must
+  // share.
+  double homeliness(Nanos now) const {
+    const double used = use(now);
+    return used <= 0 ? 1 : std::clamp((kFullEnough / used - 1) / kDemandSurprise, 0.0, 1.0);
+  }
+
+  // Whom a table serves is ours to settle: each zone's proxies keep to their own zone as far as it has room,
+  // and what is over goes where room is left. Room is judged against the mean load of all, so a zone full of
+  // cold or withdrawn replicas spills and a quiet one takes more. Groups with the fewest zones to choose from
+  // go first.
+  std::vector<Lines> compose(Nanos now) const {
+    const double home = homeliness(now);
+    std::vector<double> room(zones, 0.0), slack(zones, local_slack);
+    double demand = 0, capacity = 0;
+    for (const auto& [id, replica] : replicas) {
+      if (!serves(replica) || static_cast<std::size_t>(replica.zone) >= zones) continue;
+      const double weight = replica.listed * replica.step * share(now, replica);
+      room[static_cast<std::size_t>(replica.zone)] += weight;
+      // A zone that keeps its jam to itself must not push over what is cold in it.
+      auto& zone_slack = slack[static_cast<std::size_t>(replica.zone)];
+      if (cold(now, replica))
+        zone_slack = std::min(zone_slack, std::max(0.0, kColdMargin * fall_multiple - 1));
+      capacity += weight;
+    }
+    for (const auto& group : groups) {
+      for (const auto& zone_demand : group.demand) demand += zone_demand.read(now);
     }
     for (std::size_t zone = 0; zone < zones; ++zone) {
-      const double over = left[zone] - flow[zone][zone];
-      std::vector<double> part(zones, 0.0);
-      double parts = 0;
-      for (std::size_t to = 0; to < zones; ++to) {
-        if (usable(zone, to) > 0 && to != zone) part[to] = room[to];
-        parts += part[to];
+      room[zone] *= (1 + slack[zone]) * demand / std::max(1e-9, capacity);
+    }
+
+    std::vector<std::size_t> order(groups.size());
+    for (std::size_t g = 0; g < order.size(); ++g) order[g] = g;
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+      const auto choice = [&](const Group& group) {
+        return group.home_only ? 1 : group.zones.empty() ? zones : group.zones.size();
+      };
+      return choice(groups[a]) < choice(groups[b]);
+    });
+
+    std::vector<Lines> lines(standing.size());
+    std::vector<double> taken(zones, 0.0);
+    for (const auto g : order) {
+      const auto& group = groups[g];
+      // What this group may use of each zone, by the zone of the proxies.
+      const auto usable = [&](std::size_t from, std::size_t to) {
+        double weight = 0;
+        for (const auto& [id, replica] : replicas) {
+          if (static_cast<std::size_t>(replica.zone) != to || !serves(replica)) continue;
+          if (open_to(group, from, replica)) weight += replica.listed * replica.step * share(now, replica);
+        }
+        return weight;
+      };
+      std::vector<double> left(zones);
+      std::vector<std::vector<double>> flow(zones, std::vector<double>(zones, 0.0));
+      for (std::size_t zone = 0; zone < zones; ++zone) {
+        left[zone] = std::max(1e-9, group.demand[zone].read(now));
+        if (usable(zone, zone) <= 0) continue;
+        flow[zone][zone] = std::min(left[zone], room[zone]);
+        room[zone] -= flow[zone][zone];
+      }
+      for (std::size_t zone = 0; zone < zones; ++zone) {
+        const double over = left[zone] - flow[zone][zone];
+        std::vector<double> part(zones, 0.0);
+        double parts = 0;
+        for (std::size_t to = 0; to < zones; ++to) {
+          if (usable(zone, to) > 0 && to != zone) part[to] = room[to];
+          parts += part[to];
+        }
+        if (parts < over) {
+          // No room anywhere: all share the rest by what they can do.
+          const double short_of = over - parts;
+          double weights = 0;
+          for (std::size_t to = 0; to < zones; ++to) weights += usable(zone, to);
+          for (std::size_t to = 0; to < zones && weights > 0; ++to) {
+            flow[zone][to] += short_of * usable(zone, to) / weights;
+          }
+        }
+        for (std::size_t to = 0; to < zones && parts > 0; ++to) {
+          const double moved = std::min(over, parts) * part[to] / parts;
+          flow[zone][to] += moved;
+          room[to] -= moved;
+        }
       }
-      if (parts < over) {
-        // No room anywhere: all share the rest by what they can do.
-        const double short_of = over - parts;
-        double weights = 0;
-        for (std::size_t to = 0; to < zones; ++to) weights += usable(zone, to);
+      for (std::size_t zone = 0; zone < zones; ++zone) {
+        double weights = 0, sum = 0;
+        const auto spare = [&](std::size_t to) {
+          // What groups with less choice already bring there counts against a zone.
+          if (usable(zone, to) <= 0) return 0.0;
+          return std::max(0.05 * usable(zone, to), usable(zone, to) * demand / capacity - taken[to]);
+        };
+        for (std::size_t to = 0; to < zones; ++to) weights += spare(to);
         for (std::size_t to = 0; to < zones && weights > 0; ++to) {
-          flow[zone][to] += short_of * usable(zone, to) / weights;
+          flow[zone][to] = home * flow[zone][to] + (1 - home) * left[zone] * spare(to) / weights;
+        }
+        for (auto& part : flow[zone]) {
+          if (part < kSmallestSpill * left[zone]) part = 0;
+          sum += part;
+        }
+        if (sum <= 0) continue;
+        auto& table_lines = lines[static_cast<std::size_t>(table(zone, g))];
+        for (const auto& [id, replica] : replicas) {
+          const auto to = static_cast<std::size_t>(replica.zone);
+          if (!serves(replica) || to >= zones || flow[zone][to] <= 0 || !open_to(group, zone, replica))
+            continue;
+          const double weight = replica.listed * replica.step * share(now, replica);
+          table_lines[id] = weight * (flow[zone][to] / sum) * capacity / usable(zone, to);
         }
       }
-      for (std::size_t to = 0; to < zones && parts > 0; ++to) {
-        const double moved = std::min(over, parts) * part[to] / parts;
-        flow[zone][to] += moved;
-        room[to] -= moved;
+      for (std::size_t zone = 0; zone < zones; ++zone) {
+        for (std::size_t to = 0; to < zones; ++to) taken[to] += flow[zone][to];
       }
     }
+    spare_cold(now, lines);
+    return lines;
+  }
+
+  // What a unit of listed weight has lately been seen to handle at its best: no more than its capacity.
+  void watch_yield(Nanos now) {
+    double good = 0, weight = 0;
+    for (const auto& [id, replica] : replicas) {
+      if (!serves(replica)) continue;
+      good += replica.tries.read(now) - replica.failed.read(now);
+      weight += replica.listed * share(now, replica);
+    }
+    const double rate = good * std::numbers::ln2 / seconds(kEvidenceHalfLife) / std::max(1e-9, weight);
+    best_yield = std::max(rate, best_yield * std::exp2(-seconds(round_every) / seconds(kYieldHalfLife)));
+  }
+
+  // Guards what is cold against what its lines would bring it: when others are drained, withdrawn or gone, or
+  // repeats multiply the tries, its part grows though its weight does not. Every line of a cold replica
+  // shrinks until all tables together bring it at most kColdMargin of the load that pushes it over.
+  void spare_cold(Nanos now, std::vector<Lines>& lines) const {
+    if (best_yield <= 0) return;
+    std::vector<double> tries(lines.size()), sums(lines.size());
     for (std::size_t zone = 0; zone < zones; ++zone) {
-      double weights = 0, sum = 0;
-      const auto spare = [&](std::size_t to) {
-        // What groups with less choice already bring there counts against a zone.
-        if (usable(zone, to) <= 0) return 0.0;
-        return std::max(0.05 * usable(zone, to), usable(zone, to) * demand / capacity - taken[to]);
-      };
-      for (std::size_t to = 0; to < zones; ++to) weights += spare(to);
-      for (std::size_t to = 0; to < zones && weights > 0; ++to) {
-        flow[zone][to] = home * flow[zone][to] + (1 - home) * left[zone] * spare(to) / weights;
+      const double met = std::max(zone_usual[zone].read(now) * std::numbers::ln2 / seconds(kUsualHalfLife),
+                                  zone_recent[zone].read(now) * std::numbers::ln2 / seconds(kRecentHalfLife));
+      double demand = 1e-9;
+      for (const auto& group : groups) demand += group.demand[zone].read(now);
+      for (std::size_t g = 0; g < groups.size(); ++g) {
+        const auto t = static_cast<std::size_t>(table(zone, g));
+        tries[t] = met * groups[g].demand[zone].read(now) / demand;
+        for (const auto& [id, weight] : lines[t]) sums[t] += weight;
       }
-      for (auto& part : flow[zone]) {
-        if (part < kSmallestSpill * left[zone]) part = 0;
-        sum += part;
+    }
+    for (const auto& [id, replica] : replicas) {
+      if (!serves(replica) || !cold(now, replica)) continue;
+      double load = 0;
+      for (std::size_t t = 0; t < lines.size(); ++t) {
+        if (lines[t].contains(id)) load += tries[t] * lines[t][id] / sums[t];
       }
-      if (sum <= 0) continue;
-      auto& table_lines = lines[static_cast<std::size_t>(table(zone, g))];
-      for (const auto& [id, replica] : replicas) {
-        const auto to = static_cast<std::size_t>(replica.zone);
-        if (!serves(replica) || to >= zones || flow[zone][to] <= 0 || !open_to(group, zone, replica))
-          continue;
-        const double weight = replica.listed * replica.step * share(now, replica);
-        table_lines[id] = weight * (flow[zone][to] / sum) * capacity / usable(zone, to);
+      const double most = kColdMargin * fall_multiple * best_yield * replica.listed * sure(now, replica);
+      if (load <= most) continue;
+      for (auto& table_lines : lines) {
+        if (table_lines.contains(id)) table_lines[id] *= most / load;
       }
     }
-    for (std::size_t zone = 0; zone < zones; ++zone) {
-      for (std::size_t to = 0; to < zones; ++to) taken[to] += flow[zone][to];
-    }
   }
-  return lines;
-}
-
-// --- The channel
-
-double Governor::State::waiting(Nanos now) {
-  queued = std::max(0.0, queued - seconds(now - queued_at) * lines_per_second);
-  queued_at = now;
-  while (!messages.empty() && messages.front() <= now - messages_window) messages.pop_front();
-  return queued;
-}
-
-// Guards the queue and the messages to one proxy: ordinary orders leave room for what cannot wait, and what
-// cannot wait still stays under the limit, on a channel at half its stated pace.
-bool Governor::State::may_send(Nanos now, double lines, bool urgent) {
-  const double limit = most_waiting * (urgent ? 0.9 : kChannelShare);
-  if (waiting(now) + lines > limit) return false;
-  if (messages_allowed == 0) return true;
-  const double allowed = messages_allowed * (urgent ? 1.0 : kOrdinaryMessages) - 1;  // one is for a binding
-  return static_cast<double>(messages.size()) + 1 <= allowed;
-}
 
-void Governor::State::sent(Nanos now, double lines) { queued = waiting(now) + lines; }
-
-// Sends what differs from the standing tables; a line that a replica needs before it is let in again goes
-// first, in the same message.
-void Governor::State::publish(Nanos now, bool urgent) {
-  if (!tables_are_ours) return;
-  const auto wanted = compose(now);
-  std::vector<std::pair<std::size_t, std::pair<ReplicaId, double>>> changes;
-  double lines = 0;
-  for (std::size_t t = 0; t < wanted.size(); ++t) {
-    if (wanted[t].empty()) continue;  // an empty table would leave its proxies without a replica
-    for (const auto& [id, weight] : wanted[t]) {
-      const auto at = standing[t].find(id);
-      const bool same =
-          at != standing[t].end() && std::abs(weight - at->second) <= kWorthSending * at->second;
-      if (!same) changes.push_back({t, {id, weight}});
-    }
-    for (const auto& [id, weight] : standing[t]) {
-      // A withdrawn replica may keep its line for its return, unless it is gone for good.
-      const auto replica = replicas.find(id);
-      const bool returns = replica != replicas.end() && replica->second.breaker == Breaker::open &&
-                           replica->second.phase == Phase::ready;
-      if (!wanted[t].contains(id) && !returns) changes.push_back({t, {id, 0.0}});
-    }
-  }
-  std::vector<std::pair<std::size_t, double>> level_changes;
-  const auto wanted_levels = class_levels(now);
-  for (std::size_t k = 0; k < levels.size(); ++k) {
-    const bool back = wanted_levels[k] >= 1 && levels[k] < 1;
-    if (back || std::abs(wanted_levels[k] - levels[k]) > kWorthSending) {
-      level_changes.push_back({k, wanted_levels[k]});
-    }
-  }
-  std::vector<std::pair<ReplicaId, bool>> withdrawals;
-  for (auto& [id, replica] : replicas) {
-    if (replica.withdrawn == serves(replica)) withdrawals.push_back({id, !serves(replica)});
-  }
-  if (changes.empty() && withdrawals.empty() && level_changes.empty()) return;
-  lines = static_cast<double>(proxies.size()) * (head + withdrawals.size() + 2 * levels.size()) +
-          static_cast<double>(proxies.size() * changes.size()) / zones;
-  if (!may_send(now, lines, urgent)) return;
-  for (const auto& [id, out] : withdrawals) {
-    if (out) host.withdraw(id, true);
-  }
-  for (const auto& [t, line] : changes) {
-    host.set_line(TableId{static_cast<std::uint16_t>(t)}, line.first, line.second);
-    if (line.second > 0) {
-      standing[t][line.first] = line.second;
-    } else {
-      standing[t].erase(line.first);
-    }
-  }
-  for (const auto& [id, out] : withdrawals) {
-    if (!out) host.withdraw(id, false);
-    replicas[id].withdrawn = out;
-  }
-  for (const auto& [k, level] : level_changes) {
-    // Proof that the first try never ran is the most that an effect allows at every class.
-    host.set_level(kEveryTable, static_cast<ClassMask>(1u << k), level, Retry::after_proof);
-    levels[k] = level;
-  }
-  messages.push_back(now);
-  sent(now, lines);
-  hurry = false;
-  next_publish = now + publish_every;
-}
-
-// A proxy that joins has none of our tables: it gets all of them at once, with every standing withdrawal.
-void Governor::State::bind(Nanos now) {
-  if (!tables_are_ours) return;
-  for (auto& [id, proxy] : proxies) {
-    if (proxy.bound || static_cast<std::size_t>(proxy.zone) >= zones) continue;
-    double lines = head;
-    bool ready = true;
-    for (std::size_t g = 0; g < groups.size(); ++g) {
-      const auto& held = standing[static_cast<std::size_t>(table(static_cast<std::size_t>(proxy.zone), g))];
-      if (held.empty()) ready = false;
-      lines += 2.0 * static_cast<double>(held.size()) + 2;
-    }
-    if (!ready || waiting(now) + lines > 0.9 * most_waiting) continue;
-    for (std::size_t g = 0; g < groups.size(); ++g) {
-      host.bind(id, table(static_cast<std::size_t>(proxy.zone), g), groups[g].classes);
-    }
-    proxy.bound = true;
+  // --- The channel
+
+  double waiting(Nanos now) {
+    queued = std::max(0.0, queued - seconds(now - queued_at) * lines_per_second);
+    queued_at = now;
+    while (!messages.empty() && messages.front() <= now - messages_window) messages.pop_front();
+    return queued;
+  }
+
+  // Guards the queue and the messages to one proxy: ordinary orders leave room for what cannot wait, and what
+  // cannot wait still stays under the limit, on a channel at half its stated pace.
+  bool may_send(Nanos now, double lines, bool urgent) {
+    const double limit = most_waiting * (urgent ? 0.9 : kChannelShare);
+    if (waiting(now) + lines > limit) return false;
+    if (messages_allowed == 0) return true;
+    const double allowed = messages_allowed * (urgent ? 1.0 : kOrdinaryMessages) - 1;  // one is for a binding
+    return static_cast<double>(messages.size()) + 1 <= allowed;
+  }
+
+  void sent(Nanos now, double lines) { queued = waiting(now) + lines; }
+
+  // Sends what differs from the standing tables; a line that a replica needs before it is let in again goes
+  // first, in the same message.
+  void publish(Nanos now, bool urgent) {
+    if (!tables_are_ours) return;
+    const auto wanted = compose(now);
+    std::vector<std::pair<std::size_t, std::pair<ReplicaId, double>>> changes;
+    double lines = 0;
+    for (std::size_t t = 0; t < wanted.size(); ++t) {
+      if (wanted[t].empty()) continue;  // an empty table would leave its proxies without a replica
+      for (const auto& [id, weight] : wanted[t]) {
+        const auto at = standing[t].find(id);
+        const bool same =
+            at != standing[t].end() && std::abs(weight - at->second) <= kWorthSending * at->second;
+        if (!same) changes.push_back({t, {id, weight}});
+      }
+      for (const auto& [id, weight] : standing[t]) {
+        // A withdrawn replica may keep its line for its return, unless it is gone for good.
+        const auto replica = replicas.find(id);
+        const bool returns = replica != replicas.end() && replica->second.breaker == Breaker::open &&
+                             replica->second.phase == Phase::ready;
+        if (!wanted[t].contains(id) && !returns) changes.push_back({t, {id, 0.0}});
+      }
+    }
+    std::vector<std::pair<std::size_t, double>> level_changes;
+    const auto wanted_levels = class_levels(now);
+    for (std::size_t k = 0; k < levels.size(); ++k) {
+      const bool back = wanted_levels[k] >= 1 && levels[k] < 1;
+      if (back || std::abs(wanted_levels[k] - levels[k]) > kWorthSending) {
+        level_changes.push_back({k, wanted_levels[k]});
+      }
+    }
+    std::vector<std::pair<ReplicaId, bool>> withdrawals;
+    for (auto& [id, replica] : replicas) {
+      if (replica.withdrawn == serves(replica)) withdrawals.push_back({id, !serves(replica)});
+    }
+    if (changes.empty() && withdrawals.empty() && level_changes.empty()) return;
+    lines = static_cast<double>(proxies.size()) * (head + withdrawals.size() + 2 * levels.size()) +
+            static_cast<double>(proxies.size() * changes.size()) / zones;
+    if (!may_send(now, lines, urgent)) return;
+    for (const auto& [id, out] : withdrawals) {
+      if (out) host.withdraw(id, true);
+    }
+    for (const auto& [t, line] : changes) {
+      host.set_line(TableId{static_cast<std::uint16_t>(t)}, line.first, line.second);
+      if (line.second > 0) {
+        standing[t][line.first] = line.second;
+      } else {
+        standing[t].erase(line.first);
+      }
+    }
+    for (const auto& [id, out] : withdrawals) {
+      if (!out) host.withdraw(id, false);
+      replicas[id].withdrawn = out;
+    }
+    for (const auto& [k, level] : level_changes) {
+      // Proof that the first try never ran is the most that an effect allows at every class.
+      host.set_level(kEveryTable, static_cast<ClassMask>(1u << k), level, Retry::after_proof);
+      levels[k] = level;
+    }
+    messages.push_back(now);
     sent(now, lines);
+    hurry = false;
+    next_publish = now + publish_every;
+  }
+
+  // A proxy that joins has none of our tables: it gets all of them at once, with every standing withdrawal.
+  void bind(Nanos now) {
+    if (!tables_are_ours) return;
+    for (auto& [id, proxy] : proxies) {
+      if (proxy.bound || static_cast<std::size_t>(proxy.zone) >= zones) continue;
+      double lines = head;
+      bool ready = true;
+      for (std::size_t g = 0; g < groups.size(); ++g) {
+        const auto& held = standing[static_cast<std::size_t>(table(static_cast<std::size_t>(proxy.zone), g))];
+        if (held.empty()) ready = false;
+        lines += 2.0 * static_cast<double>(held.size()) + 2;
+      }
+      if (!ready || waiting(now) + lines > 0.9 * most_waiting) continue;
+      for (std::size_t g = 0; g < groups.size(); ++g) {
+        host.bind(id, table(static_cast<std::size_t>(proxy.zone), g), groups[g].classes);
+      }
+      proxy.bound = true;
+      sent(now, lines);
+    }
   }
-}
 
-// No trip may empty a table: when drains and deaths take what the breakers had left, the replica that is due
-// back first comes back now.
-void Governor::State::keep_served(Nanos now) {
-  for (const auto& group : groups) {
-    for (std::size_t zone = 0; zone < zones; ++zone) {
-      std::pair<const ReplicaId, Replica>* first = nullptr;
-      bool served = false;
-      for (auto& entry : replicas) {
-        if (entry.second.phase != Phase::ready || !open_to(group, zone, entry.second)) continue;
-        if (serves(entry.second)) served = true;
-        if (!first || entry.second.reopens < first->second.reopens) first = &entry;
+  // No trip may empty a table: when drains and deaths take what the breakers had left, the replica that is
+  // due back first comes back now.
+  void keep_served(Nanos now) {
+    for (const auto& group : groups) {
+      for (std::size_t zone = 0; zone < zones; ++zone) {
+        std::pair<const ReplicaId, Replica>* first = nullptr;
+        bool served = false;
+        for (auto& entry : replicas) {
+          if (entry.second.phase != Phase::ready || !open_to(group, zone, entry.second)) continue;
+          if (serves(entry.second)) served = true;
+          if (!first || entry.second.reopens < first->second.reopens) first = &entry;
+        }
+        if (served || !first) continue;
+        first->second.held = false;
+        half_open(now, first->first, first->second);
       }
-      if (served || !first) continue;
-      first->second.held = false;
-      half_open(now, first->first, first->second);
     }
   }
-}
 
-// Where loads come only when asked for, all replicas are asked once in each probe span, spread over its
-// rounds.
-void Governor::State::ask_loads(Nanos now) {
-  if (!probes_for_load) return;
-  for (auto& [id, replica] : replicas) {
-    if (!serves(replica) || now < replica.next_probe) continue;
-    host.probe(id);
-    const bool first = replica.next_probe == Nanos{};
-    std::uniform_real_distribution<double> spread(first ? 0.0 : 0.9, 1.0);
-    replica.next_probe = now + Nanos(static_cast<Nanos::rep>(kProbeEvery.count() * spread(chance)));
+  // Where loads come only when asked for, all replicas are asked once in each probe span, spread over its
+  // rounds.
+  void ask_loads(Nanos now) {
+    if (!probes_for_load) return;
+    for (auto& [id, replica] : replicas) {
+      if (!serves(replica) || now < replica.next_probe) continue;
+      host.probe(id);
+      const bool first = replica.next_probe == Nanos{};
+      std::uniform_real_distribution<double> spread(first ? 0.0 : 0.9, 1.0);
+      replica.next_probe = now + Nanos(static_cast<Nanos::rep>(kProbeEvery.count() * spread(chance)));
+    }
   }
-}
-
-void Governor::State::take_load(Nanos now, Replica& replica, const std::vector<float>& load) const {
-  if (!load_column || *load_column >= load.size() || now < replica.evidence_from) return;
-  replica.load_sum.add(now, load[*load_column]);
-  replica.load_count.add(now, 1);
-}
 
-void Governor::State::round(Nanos now) {
-  host.arm(round_every, kRoundTimer);
-  ask_loads(now);
-  judge(now);
-  hold_cold(now);
-  keep_served(now);
-  step_loads(now);
-  admit(now);
-  if (hurry || now >= next_publish) publish(now, hurry);
-  bind(now);
-}
+  void take_load(Nanos now, Replica& replica, const std::vector<float>& load) const {
+    if (!load_column || *load_column >= load.size() || now < replica.evidence_from) return;
+    replica.load_sum.add(now, load[*load_column]);
+    replica.load_count.add(now, 1);
+  }
+
+  void round(Nanos now) {
+    host.arm(round_every, kRoundTimer);
+    ask_loads(now);
+    judge(now);
+    hold_cold(now);
+    keep_served(now);
+    step_loads(now);
+    admit(now);
+    watch_yield(now);
+    if (hurry || now >= next_publish) publish(now, hurry);
+    bind(now);
+  }
+
+  void take_entry(Nanos now, const ListEntry& entry, bool at_start) {
+    const bool known = replicas.contains(entry.replica);
+    auto& replica = replicas[entry.replica];
+    const bool was_ready = known && replica.phase == Phase::ready;
+    const bool restarted = known && entry.started && replica.started != entry.started;
+    replica.zone = entry.zone;
+    replica.kind = entry.kind;
+    replica.listed = std::max(1e-3, entry.weight);
+    replica.phase = entry.phase;
+    replica.started = entry.started;
+    if (!known) {
+      replica.usual.assign(zones, DecayingSum{kUsualHalfLife});
+      replica.heard = zone_tries;
+    }
+    if (entry.phase != Phase::ready) {
+      if (was_ready) hurry = true;
+      return;
+    }
+    if (at_start || (was_ready && !restarted)) {
+      // Listed at the start means closed, but what started a moment ago is cold whatever the breaker says.
+      if (at_start && cold(now, replica)) half_open(now, entry.replica, replica);
+      return;
+    }
+    replica.step = 1;
+    replica.held = false;
+    replica.cooldown = kCooldown;
+    half_open(now, entry.replica, replica);
+  }
+};
 
 // --- Events
 
-void Governor::State::take_entry(Nanos now, const ListEntry& entry, bool at_start) {
-  const bool known = replicas.contains(entry.replica);
-  auto& replica = replicas[entry.replica];
-  const bool was_ready = known && replica.phase == Phase::ready;
-  const bool restarted = known && entry.started && replica.started != entry.started;
-  replica.zone = entry.zone;
-  replica.kind = entry.kind;
-  replica.listed = std::max(1e-3, entry.weight);
-  replica.phase = entry.phase;
-  replica.started = entry.started;
-  if (!known) {
-    replica.usual.assign(zones, DecayingSum{kUsualHalfLife});
-    replica.heard = zone_tries;
-  }
-  if (entry.phase != Phase::ready) {
-    if (was_ready) hurry = true;
-    return;
-  }
-  if (at_start || (was_ready && !restarted)) {
-    // Listed at the start means closed, but what started a moment ago is cold whatever the breaker says.
-    if (at_start && cold(now, replica)) half_open(now, entry.replica, replica);
-    return;
-  }
-  replica.step = 1;
-  replica.held = false;
-  replica.cooldown = kCooldown;
-  half_open(now, entry.replica, replica);
-}
-
 Governor::Governor(const Settings& settings, std::uint64_t seed, Nanos now, Host& host)
     : state_(std::make_unique<State>(settings, seed, now, host)) {}
 Governor::~Governor() = default;
@@ -933,6 +947,7 @@
   auto& s = *state_;
   if (static_cast<std::size_t>(sum.zone) < s.zones) {
     s.zone_usual[static_cast<std::size_t>(sum.zone)].add(now, sum.tries);
+    s.zone_recent[static_cast<std::size_t>(sum.zone)].add(now, sum.tries);
     s.zone_tries[static_cast<std::size_t>(sum.zone)] += sum.tries;
   }
   const auto at = s.replicas.find(sum.replica);
