--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,8 +1,6 @@
 // Every decision of the governor, every tuned value and all decision state.
-//
 // How to call it: the interface is rules.h. Construct a Governor when an instance starts, then call the
 // method named for each thing that happens, with the time; it orders through the Host before it returns.
-//
 // How to read it: a list or a sum only changes what is known; `round` runs on a timer, judges the breakers,
 // steps the weights and hands the tables to `publish`, which sends what differs. What must not wait (drains,
 // trips, a proxy without a table) goes out at once.
@@ -64,6 +62,8 @@
 constexpr double kCrowdedTime = 0.45;     // or its mean time, of the target time
 constexpr double kShedMost = 0.3;         // of what is let in, taken back in one report span at the most
 constexpr double kShedEase = 0.5;         // given again in one report span, times what is left to crowded
+constexpr double kJamRepeats = 1.6;       // tries for a good one from which there is no second try,
+constexpr double kEasedRepeats = 1.3;     // and below which there is one again
 constexpr double kLeastLetIn = 0.25;      // of the work asked for
 constexpr double kLeastLevel = 0.1;       // no class is shut out
 constexpr double kHoldRepeats = 0.15;    // tries for a good one, of the load that pushes a cold replica over,
@@ -157,8 +157,11 @@
   std::vector<double> class_work, class_payoff;
   std::vector<DecayingSum> class_demand;
   std::vector<double> crowded, slack;  // pressure of each zone, and how far it may pass the mean load now
-  double let_in = 1;                   // of the work asked for
-  std::vector<double> levels;          // as ordered, by class
+  // Proof that the first try never ran is the most that an effect allows at every class; in a jam a second
+  // try only adds to what is refused.
+  Retry retry = Retry::after_proof, ordered_retry = retry;
+  double let_in = 1;           // of the work asked for
+  std::vector<double> levels;  // as ordered, by class
   std::vector<std::size_t> class_group;
   std::optional<std::size_t> load_column;
   bool load_is_per_size = false, probes_for_load = false;
@@ -167,13 +170,12 @@
   std::map<ReplicaId, Replica> replicas;
   std::map<ProxyId, Proxy> proxies;
   std::vector<Lines> standing;  // as ordered, by table
-  Nanos next_publish{}, next_step{}, next_admit{};
+  Nanos next_publish{}, next_step{}, next_admit{}, queued_at{};
   std::vector<DecayingSum> zone_usual, zone_recent;
   double best_yield = 0;
   std::vector<double> zone_tries;  // counted up since the start
   std::deque<Nanos> messages;      // when orders went to all, within the window
   double queued = 0;               // lines we believe to wait
-  Nanos queued_at{};
   bool hurry = false;
   int list_failures = 0;
 
@@ -202,8 +204,7 @@
         may_shed(s.admission == Admission::share && s.slices == 0),
         class_demand(s.classes.size(), DecayingSum{kDemandHalfLife}),
         levels(s.classes.size(), 1.0),
-        next_step(now + kStepEvery),
-        queued_at(now) {
+        next_step(now + kStepEvery) {
     for (const auto& cls : s.classes) {
       // Nobody tells the work of a class; those who ask allow more time for what takes longer.
       class_work.push_back(std::max(1e-3, seconds(cls.target_time)));
@@ -477,6 +478,12 @@
     if (now < next_admit) return;
     next_admit = now + 2 * round_every;
     loosen_zones(now);
+    double most = 0;
+    for (std::size_t z = 0; z < zones; ++z) {
+      most = std::max(most, repeats(now, ZoneId{static_cast<std::uint16_t>(z)}));
+    }
+    if (most > kJamRepeats) retry = Retry::none;
+    if (most < kEasedRepeats) retry = Retry::after_proof;
     if (!may_shed) return;
     const double crowded = pressure(now);
     let_in = crowded > 1 ? let_in * (1 - kShedMost * std::min(1.0, crowded - 1))
@@ -585,19 +592,15 @@
       room[zone] *= (1 + zone_slack[zone]) * demand / std::max(1e-9, capacity);
     }
 
-    std::vector<std::size_t> order(groups.size());
-    for (std::size_t g = 0; g < order.size(); ++g) order[g] = g;
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-      const auto choice = [&](const Group& group) {
-        return group.home_only ? 1 : group.zones.empty() ? zones : group.zones.size();
-      };
-      return choice(groups[a]) < choice(groups[b]);
-    });
-
     std::vector<Lines> lines(standing.size());
     std::vector<double> taken(zones, 0.0);
-    for (const auto g : order) {
+    for (std::size_t turn = 0; turn < zones * groups.size(); ++turn) {
+      const auto g = turn % groups.size();
       const auto& group = groups[g];
+      const auto choice = group.home_only       ? 1
+                          : group.zones.empty() ? zones
+                                                : std::min(group.zones.size(), zones);
+      if (choice != turn / groups.size() + 1) continue;
       // What this group may use of each zone, by the zone of the proxies.
       const auto usable = [&](std::size_t from, std::size_t to) {
         double weight = 0;
@@ -762,7 +765,7 @@
     const auto wanted_levels = class_levels(now);
     for (std::size_t k = 0; k < levels.size(); ++k) {
       const bool back = wanted_levels[k] >= 1 && levels[k] < 1;
-      if (back || std::abs(wanted_levels[k] - levels[k]) > kWorthSending) {
+      if (back || retry != ordered_retry || std::abs(wanted_levels[k] - levels[k]) > kWorthSending) {
         level_changes.push_back({k, wanted_levels[k]});
       }
     }
@@ -791,10 +794,10 @@
       replicas[id].withdrawn = out;
     }
     for (const auto& [k, level] : level_changes) {
-      // Proof that the first try never ran is the most that an effect allows at every class.
-      host.set_level(kEveryTable, static_cast<ClassMask>(1u << k), level, Retry::after_proof);
+      host.set_level(kEveryTable, static_cast<ClassMask>(1u << k), level, retry);
       levels[k] = level;
     }
+    ordered_retry = retry;
     messages.push_back(now);
     queued = waiting(now) + lines;
     hurry = false;
@@ -807,13 +810,11 @@
     for (auto& [id, proxy] : proxies) {
       if (proxy.bound || static_cast<std::size_t>(proxy.zone) >= zones) continue;
       double lines = head;
-      bool ready = true;
       for (std::size_t g = 0; g < groups.size(); ++g) {
         const auto& held = standing[static_cast<std::size_t>(table(static_cast<std::size_t>(proxy.zone), g))];
-        if (held.empty()) ready = false;
-        lines += 2.0 * static_cast<double>(held.size()) + 2;
+        lines += held.empty() ? most_waiting : 2.0 * static_cast<double>(held.size()) + 2;
       }
-      if (!ready || waiting(now) + lines > 0.9 * most_waiting) continue;
+      if (waiting(now) + lines > 0.9 * most_waiting) continue;
       for (std::size_t g = 0; g < groups.size(); ++g) {
         host.bind(id, table(static_cast<std::size_t>(proxy.zone), g), groups[g].classes);
       }
@@ -928,9 +929,8 @@
   if (s.hurry || kind == ListKind::cached) s.publish(now, true);
 }
 
-void Governor::list_failed(Nanos now) {
+void Governor::list_failed(Nanos) {
   auto& s = *state_;
-  (void)now;
   // Against every asker coming back at the same moment to a list that is already too busy.
   s.list_failures = std::min(s.list_failures + 1, 3);
   std::uniform_real_distribution<double> spread(0.3, 1.0);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -194,6 +194,15 @@
   for (const auto& [classes, last] : level) EXPECT_EQ(last, 1.0);
 }
 
+TEST(Shedding, AJamGetsNoSecondTryUntilItIsOver) {
+  Scene scene;
+  for (int s = 0; s < 5; ++s) scene.second({}, 7);
+  ASSERT_FALSE(scene.host.levels.empty());
+  EXPECT_EQ(scene.host.levels.back().retry, Retry::none);
+  for (int s = 0; s < 25; ++s) scene.second();
+  EXPECT_EQ(scene.host.levels.back().retry, Retry::after_proof);
+}
+
 TEST(Listing, AFailedWatchIsAskedAnewAfterAWhile) {
   auto settings = small_settings();
   settings.list_by_asking = true;
