--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -68,7 +68,8 @@
 constexpr double kLeastLevel = 0.1;       // no class is shut out
 constexpr double kHoldRepeats = 0.15;    // tries for a good one, of the load that pushes a cold replica over,
 constexpr double kReleaseRepeats = 0.1;  // from which cold ones are held out, and let in again
-constexpr double kColdMargin = 0.3;      // of the load that would push a cold replica over
+constexpr double kDrawnTwice = 1.5;  // a line of two drawn gets more than its part when it refuses at once
+constexpr double kColdMargin = 0.3;  // of the load that would push a cold replica over
 
 constexpr TimerId kRoundTimer{1}, kWatchTimer{2};
 
@@ -710,7 +711,7 @@
       if (!serves(replica) || !cold(now, replica)) continue;
       double load = 0;
       for (std::size_t t = 0; t < lines.size(); ++t) {
-        if (lines[t].contains(id)) load += tries[t] * lines[t][id] / sums[t];
+        if (lines[t].contains(id)) load += (choosy ? kDrawnTwice : 1) * tries[t] * lines[t][id] / sums[t];
       }
       const double most = kColdMargin * fall_multiple * best_yield * replica.listed * sure(now, replica);
       if (load <= most) continue;
