--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -827,6 +827,7 @@
   // No trip may empty a table: when drains and deaths take what the breakers had left, the replica that is
   // due back first comes back now.
   void keep_served(Nanos now) {
+    hold_cold(now);
     for (const auto& group : groups) {
       for (std::size_t zone = 0; zone < zones; ++zone) {
         std::pair<const ReplicaId, Replica>* first = nullptr;
@@ -866,7 +867,6 @@
     host.arm(round_every, kRoundTimer);
     ask_loads(now);
     judge(now);
-    hold_cold(now);
     keep_served(now);
     step_loads(now);
     admit(now);
