--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -203,6 +203,16 @@
   EXPECT_EQ(scene.host.levels.back().retry, Retry::after_proof);
 }
 
+TEST(Channel, AJoiningWaveWaitsForItsTurn) {
+  auto settings = small_settings();
+  settings.channel_most_waiting = 60;
+  settings.channel_lines_per_second = 20;
+  Scene scene(settings);
+  EXPECT_EQ(scene.host.bindings.size(), 2u);  // a binding is some 25 lines, and all three are past the limit
+  scene.pass(10s);
+  EXPECT_EQ(scene.host.bindings.size(), 3u);
+}
+
 TEST(Listing, AFailedWatchIsAskedAnewAfterAWhile) {
   auto settings = small_settings();
   settings.list_by_asking = true;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <cstring>
 #include <limits>
@@ -115,6 +116,18 @@
   }
 }
 
+TEST(BadInput, EndingWithinAFrameIsAFault) {
+  const auto whole = batch(launch() + list(1));
+  for (const std::size_t cut : {std::size_t{5}, whole.size() - 3}) {
+    int in[2], out[2];
+    ASSERT_TRUE(pipe(in) == 0 && pipe(out) == 0);
+    ASSERT_EQ(write(in[1], whole.data(), cut), static_cast<ssize_t>(cut));
+    close(in[1]);
+    EXPECT_THROW(serve(in[0], out[1]), wire::Malformed);
+    for (const int fd : {in[0], out[0], out[1]}) close(fd);
+  }
+}
+
 TEST(Settings, AreReadAndUnknownKeysIgnored) {
   const auto settings = wire::parse_settings(kSettings);
   ASSERT_EQ(settings.classes.size(), 1u);
