Tidy the module: one weight_of, usable zones worked out once a group, a rate on the sums

Gone: the unread time of return, the weight product written four times, the walk over all replicas for each pair of zones in composing, casts to a table and back, a check that 'sure' makes itself. The comment on shedding stands at shedding again.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -80,6 +80,7 @@
   explicit DecayingSum(Nanos half_life) : half_life_(half_life) {}
   void add(Nanos now, double amount) { value_ = read(now) + amount, at_ = now; }
   double read(Nanos now) const { return value_ * std::exp2(-seconds(now - at_) / seconds(half_life_)); }
+  double rate(Nanos now) const { return read(now) * std::numbers::ln2 / seconds(half_life_); }
   void clear() { value_ = 0; }
 
  private:
@@ -99,7 +100,6 @@
   Breaker breaker = Breaker::closed;
   Nanos cooldown = kCooldown;  // of the next trip
   Nanos reopens{};             // while open
-  Nanos returned{};            // when half-open began
   Nanos window_ends{};
   Nanos proven_until{};           // a trip before then is a repeat, closed or not
   bool held = false;              // cold, and kept out of a jam
@@ -308,7 +308,6 @@
 
   void half_open(Nanos now, ReplicaId id, Replica& replica) {
     replica.breaker = Breaker::half_open;
-    replica.returned = now;
     replica.window_ends = now + kConfirmWindow;
     replica.anchored.reset();
     forget_evidence(now, replica);
@@ -403,10 +402,11 @@
     } else if (replica.breaker == Breaker::half_open) {
       part = kFloor;
     }
-    if (cold(now, replica)) {
-      part = std::min(part, sure(now, replica));
-    }
-    return part;
+    return std::min(part, sure(now, replica));
+  }
+
+  double weight_of(Nanos now, const Replica& replica) const {
+    return replica.listed * replica.step * share(now, replica);
   }
 
   // Tries for each good one, over all replicas that serve or those of the zone, whichever is more: where
@@ -459,8 +459,6 @@
     return std::max(*middle, full);
   }
 
-  // When most replicas are crowded, more tries only add repeats, and all are late. What is let in shrinks at
-  // once and grows slowly; the class with the least payoff for its work gives way first.
   // A zone that jams while another has room gives up keeping to itself, step by step; where all are crowded
   // each keeps its own jam.
   void loosen_zones(Nanos now) {
@@ -475,6 +473,8 @@
     }
   }
 
+  // When most replicas are crowded, more tries only add repeats, and all are late. What is let in shrinks at
+  // once and grows slowly; the class with the least payoff for its work gives way first.
   void admit(Nanos now) {
     if (now < next_admit) return;
     next_admit = now + 2 * round_every;
@@ -486,9 +486,8 @@
     if (most > kJamRepeats) retry = Retry::none;
     if (most < kEasedRepeats) retry = Retry::after_proof;
     if (!may_shed) return;
-    const double crowded = pressure(now);
-    let_in = crowded > 1 ? let_in * (1 - kShedMost * std::min(1.0, crowded - 1))
-                         : let_in + kShedEase * (1 - crowded);
+    const double all = pressure(now);
+    let_in = all > 1 ? let_in * (1 - kShedMost * std::min(1.0, all - 1)) : let_in + kShedEase * (1 - all);
     let_in = std::clamp(let_in, kLeastLetIn, 1.0);
   }
 
@@ -549,9 +548,8 @@
 
   // --- The tables
 
-  TableId table(std::size_t zone, std::size_t group) const {
-    return TableId{static_cast<std::uint16_t>(zone * groups.size() + group)};
-  }
+  std::size_t table(std::size_t zone, std::size_t group) const { return zone * groups.size() + group; }
+  static TableId table_id(std::size_t table) { return TableId{static_cast<std::uint16_t>(table)}; }
 
   bool open_to(const Group& group, std::size_t zone, const Replica& replica) const {
     const auto has = [](const auto& list, auto id) {
@@ -579,7 +577,7 @@
     double demand = 0, capacity = 0;
     for (const auto& [id, replica] : replicas) {
       if (!serves(replica) || static_cast<std::size_t>(replica.zone) >= zones) continue;
-      const double weight = replica.listed * replica.step * share(now, replica);
+      const double weight = weight_of(now, replica);
       room[static_cast<std::size_t>(replica.zone)] += weight;
       // A zone that keeps its jam to itself must not push over what is cold in it.
       auto& most = zone_slack[static_cast<std::size_t>(replica.zone)];
@@ -603,19 +601,19 @@
                                                 : std::min(group.zones.size(), zones);
       if (choice != turn / groups.size() + 1) continue;
       // What this group may use of each zone, by the zone of the proxies.
-      const auto usable = [&](std::size_t from, std::size_t to) {
-        double weight = 0;
-        for (const auto& [id, replica] : replicas) {
-          if (static_cast<std::size_t>(replica.zone) != to || !serves(replica)) continue;
-          if (open_to(group, from, replica)) weight += replica.listed * replica.step * share(now, replica);
+      std::vector<std::vector<double>> usable(zones, std::vector<double>(zones, 0.0));
+      for (const auto& [id, replica] : replicas) {
+        const auto to = static_cast<std::size_t>(replica.zone);
+        if (!serves(replica) || to >= zones) continue;
+        for (std::size_t from = 0; from < zones; ++from) {
+          if (open_to(group, from, replica)) usable[from][to] += weight_of(now, replica);
         }
-        return weight;
-      };
+      }
       std::vector<double> left(zones);
       std::vector<std::vector<double>> flow(zones, std::vector<double>(zones, 0.0));
       for (std::size_t zone = 0; zone < zones; ++zone) {
         left[zone] = std::max(1e-9, group.demand[zone].read(now));
-        if (usable(zone, zone) <= 0) continue;
+        if (usable[zone][zone] <= 0) continue;
         flow[zone][zone] = std::min(left[zone], room[zone]);
         room[zone] -= flow[zone][zone];
       }
@@ -624,18 +622,18 @@
         std::vector<double> part(zones, 0.0);
         double parts = 0;
         for (std::size_t to = 0; to < zones; ++to) {
-          if (usable(zone, to) > 0 && to != zone && (crowded[to] < 1 || !choosy)) part[to] = room[to];
+          if (usable[zone][to] > 0 && to != zone && (crowded[to] < 1 || !choosy)) part[to] = room[to];
           parts += part[to];
         }
-        if (parts < over && choosy && usable(zone, zone) > 0) {
+        if (parts < over && choosy && usable[zone][zone] > 0) {
           flow[zone][zone] += over - parts;
         } else if (parts < over) {
           // No room anywhere: all share the rest by what they can do.
           const double short_of = over - parts;
           double weights = 0;
-          for (std::size_t to = 0; to < zones; ++to) weights += usable(zone, to);
+          for (std::size_t to = 0; to < zones; ++to) weights += usable[zone][to];
           for (std::size_t to = 0; to < zones && weights > 0; ++to) {
-            flow[zone][to] += short_of * usable(zone, to) / weights;
+            flow[zone][to] += short_of * usable[zone][to] / weights;
           }
         }
         for (std::size_t to = 0; to < zones && parts > 0; ++to) {
@@ -648,8 +646,8 @@
         double weights = 0, sum = 0;
         const auto spare = [&](std::size_t to) {
           // What groups with less choice already bring there counts against a zone.
-          if (usable(zone, to) <= 0) return 0.0;
-          return std::max(0.05 * usable(zone, to), usable(zone, to) * demand / capacity - taken[to]);
+          if (usable[zone][to] <= 0) return 0.0;
+          return std::max(0.05 * usable[zone][to], usable[zone][to] * demand / capacity - taken[to]);
         };
         for (std::size_t to = 0; to < zones; ++to) weights += spare(to);
         for (std::size_t to = 0; to < zones && weights > 0; ++to) {
@@ -660,13 +658,13 @@
           sum += part;
         }
         if (sum <= 0) continue;
-        auto& table_lines = lines[static_cast<std::size_t>(table(zone, g))];
+        auto& table_lines = lines[table(zone, g)];
         for (const auto& [id, replica] : replicas) {
           const auto to = static_cast<std::size_t>(replica.zone);
           if (!serves(replica) || to >= zones || flow[zone][to] <= 0 || !open_to(group, zone, replica))
             continue;
-          const double weight = replica.listed * replica.step * share(now, replica);
-          table_lines[id] = weight * (flow[zone][to] / sum) * capacity / usable(zone, to);
+          const double weight = weight_of(now, replica);
+          table_lines[id] = weight * (flow[zone][to] / sum) * capacity / usable[zone][to];
         }
       }
       for (std::size_t zone = 0; zone < zones; ++zone) {
@@ -696,13 +694,11 @@
     if (best_yield <= 0) return;
     std::vector<double> tries(lines.size()), sums(lines.size());
     for (std::size_t zone = 0; zone < zones; ++zone) {
-      const double met =
-          std::max(zone_usual[zone].read(now) * std::numbers::ln2 / seconds(kUsualHalfLife),
-                   zone_recent[zone].read(now) * std::numbers::ln2 / seconds(kEvidenceHalfLife));
+      const double met = std::max(zone_usual[zone].rate(now), zone_recent[zone].rate(now));
       double operations = 1e-9;
       for (const auto& group : groups) operations += group.demand[zone].read(now) / group.work;
       for (std::size_t g = 0; g < groups.size(); ++g) {
-        const auto t = static_cast<std::size_t>(table(zone, g));
+        const auto t = table(zone, g);
         tries[t] = met * groups[g].demand[zone].read(now) / groups[g].work / operations;
         for (const auto& [id, weight] : lines[t]) sums[t] += weight;
       }
@@ -783,7 +779,7 @@
       if (out) host.withdraw(id, true);
     }
     for (const auto& [t, line] : changes) {
-      host.set_line(TableId{static_cast<std::uint16_t>(t)}, line.first, line.second);
+      host.set_line(table_id(t), line.first, line.second);
       if (line.second > 0) {
         standing[t][line.first] = line.second;
       } else {
@@ -812,12 +808,12 @@
       if (proxy.bound || static_cast<std::size_t>(proxy.zone) >= zones) continue;
       double lines = head;
       for (std::size_t g = 0; g < groups.size(); ++g) {
-        const auto& held = standing[static_cast<std::size_t>(table(static_cast<std::size_t>(proxy.zone), g))];
+        const auto& held = standing[table(static_cast<std::size_t>(proxy.zone), g)];
         lines += held.empty() ? most_waiting : 2.0 * static_cast<double>(held.size()) + 2;
       }
       if (waiting(now) + lines > 0.9 * most_waiting) continue;
       for (std::size_t g = 0; g < groups.size(); ++g) {
-        host.bind(id, table(static_cast<std::size_t>(proxy.zone), g), groups[g].classes);
+        host.bind(id, table_id(table(static_cast<std::size_t>(proxy.zone), g)), groups[g].classes);
       }
       proxy.bound = true;
       queued = waiting(now) + lines;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -118,10 +118,7 @@
 TEST(Cold, AJamHoldsColdReplicasOutUntilItIsOver) {
   Scene scene;
   for (int s = 0; s < 3; ++s) scene.second();
-  scene.list(entry(4, 1, Phase::gone));
-  auto fresh = entry(4, 1);
-  fresh.started = scene.host.now;
-  scene.list(fresh);
+  scene.restart(4, 1);
   for (int s = 0; s < 3; ++s) scene.second({}, 8);
   EXPECT_TRUE(scene.host.withdrawn.contains(kSick));
   for (int s = 0; s < 8; ++s) scene.second();
@@ -132,10 +129,7 @@
 TEST(Cold, AJamOfItsOwnZoneIsEnoughToHoldIt) {
   Scene scene;
   for (int s = 0; s < 3; ++s) scene.second();
-  auto fresh = entry(4, 1);
-  scene.list(entry(4, 1, Phase::gone));
-  fresh.started = scene.host.now;
-  scene.list(fresh);
+  scene.restart(4, 1);
   for (int s = 0; s < 4; ++s) scene.second({{1, 4}, {7, 4}, {4, 4}});
   EXPECT_TRUE(scene.host.withdrawn.contains(kSick));
   EXPECT_EQ(std::count(scene.host.logged.begin(), scene.host.logged.end(), "hold cold replica 4"), 1);
@@ -145,10 +139,7 @@
 TEST(Cold, DrainsOfOthersDoNotRaiseWhatItIsSent) {
   Scene scene;
   for (int s = 0; s < 6; ++s) scene.second();
-  scene.list(entry(4, 1, Phase::gone));
-  auto fresh = entry(4, 1);
-  fresh.started = scene.host.now;
-  scene.list(fresh);
+  scene.restart(4, 1);
   for (const std::uint32_t id : {1, 2, 3, 5, 6, 7, 8}) scene.list(entry(id, id % 3, Phase::draining));
   scene.pass(1s);
   double sent = 0;  // thirty tries a second come from each zone
--- a/tests/support.h
+++ b/tests/support.h
@@ -137,6 +137,13 @@
     governor.list_received(host.now, ListKind::changes, {e});
     book();
   }
+  // The replica is gone and at once back, cold.
+  void restart(std::uint32_t id, std::uint16_t zone) {
+    list(entry(id, zone, Phase::gone));
+    auto fresh = entry(id, zone);
+    fresh.started = host.now;
+    list(fresh);
+  }
   // Lets a second pass, then hands over what a zone met at each replica; `failed` of ten tries at `sick`.
   void second(const std::map<std::uint32_t, unsigned>& failed = {}, unsigned at_all = 0, unsigned tries = 10,
               int silent = -1) {
