--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,9 +1,9 @@
 // Every decision of the governor, every tuned value and all decision state.
 // How to call it: the interface is rules.h. Construct a Governor when an instance starts, then call the
 // method named for each thing that happens, with the time; it orders through the Host before it returns.
-// How to read it: a list or a sum only changes what is known; `round` runs on a timer, surveys what is known,
-// judges the breakers, steps the weights, composes the tables and hands them to `publish`, which sends what
-// differs, as much as fits. What must not wait (drains, trips, a proxy without a table) goes out at once.
+// How to read it: `round` runs on a timer, surveys what is known, judges the breakers, steps the weights,
+// composes the tables and publishes what differs. What must not wait (drains, trips, a proxy without a table)
+// goes at once.
 
 #include "rules.h"
 
@@ -15,6 +15,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace ospreypost {
 namespace {
@@ -29,14 +30,12 @@
 constexpr Nanos kCooldownCap = 20s;
 constexpr Nanos kConfirmWindow = 4s;  // clean this long, with sound evidence, closes
 constexpr Nanos kClimb = 2 * kConfirmWindow;
-constexpr double kSoundTries = 4;      // good tries since the return that make the evidence sound
-constexpr double kTripShare = 0.5;     // of the tries must fail, above what the others meet
-constexpr double kTripFailures = 4;    // and at least so many: two unlucky tries trip nothing
-constexpr double kRetripFailures = 2;  // what is on trial, half-open or dropped by a doubted list: fewer do
-constexpr double kAlive = 0.1;         // of its tries go well at what is full, not dead
+constexpr double kSoundTries = 4;   // good tries since the return that make the evidence sound
+constexpr double kTripShare = 0.5;  // of the tries must fail, above what the others meet
+constexpr double kTripFailures = 4, kRetripFailures = 2;  // and so many; fewer half-open or of a doubted list
+constexpr double kAlive = 0.1;                            // of its tries go well at what is full, not dead
 constexpr double kMostOut = 0.34;  // of listed weight that breakers may hold out, or a list may drop, at once
 constexpr Nanos kEvidenceHalfLife = 2s;
-constexpr Nanos kUsualHalfLife = 6s;  // of what a replica is usually sent
 constexpr Nanos kDemandHalfLife = 4s;
 constexpr unsigned kProbeRounds = 4;  // each replica once in so many, where loads come no other way
 constexpr int kStepRounds = 6;        // from one load step to the next
@@ -47,25 +46,23 @@
 constexpr double kLocalSlack = 0.15;       // a zone may run this far above the mean load before it spills
 constexpr double kChoosyLocalSlack = 0.6;  // proxies that pick the less busy of two even out their zone
 constexpr double kFullEnough = 0.85;       // mean use of the replicas that surprises must not pass
-constexpr double kSurprise = 1.0;  // a zone's demand may be off by this many times its proxies' unevenness
-constexpr double kWorthSending = 0.08;   // relative change of a line below which it is not sent
-constexpr double kSmallestSpill = 0.03;  // a thinner flow into a zone costs connections for nothing
+constexpr double kWorthSending = 0.08;     // relative change of a line below which it is not sent
+constexpr double kSmallestSpill = 0.03;    // a thinner flow into a zone costs connections for nothing
 
 constexpr double kChannelShare = 0.5;                      // of the stated pace and limit that we count on
 constexpr double kUrgentShare = 0.9, kJoiningShare = 0.8;  // of the limit, for what must not wait
 constexpr Nanos kLaySpan = 4s;  // in which all first tables go out, on a channel at the pace we count on
 constexpr double kOpenConnections = 0.5;  // of what the smallest replica accepts, were each line open
 constexpr double kLeastSubset = 8;        // lines
+constexpr std::size_t kMoves = 8;         // a round and zone, at the most
 constexpr double kMoveBand = 0.15;        // between the loads of two subsets of a zone before a proxy moves
-constexpr Nanos kStay = 10s;              // of a proxy that moved
-
-constexpr double kCrowdedFailing = 0.12;  // failing share of the middle replica that means too much is let in
-constexpr double kCrowdedTime = 0.45;     // or its mean time, of the target time
-constexpr double kShedMost = 0.3;         // of what is let in, taken back in one report span at the most
-constexpr double kShedEase = 0.5;         // given again in one report span, times what is left to crowded
-constexpr double kJamRepeats = 1.6;       // tries for a good one from which there is no second try
-constexpr double kLeastLetIn = 0.25;      // of the work asked for
-constexpr double kLeastLevel = 0.1;       // no class is shut out
+
+// The middle replica is crowded when so many of its tries fail, or its mean time is so much of the target
+// time.
+constexpr double kCrowdedFailing = 0.12, kCrowdedTime = 0.45;
+constexpr double kShedMost = 0.3, kShedEase = 0.5;  // of what is let in, a report span
+constexpr double kJamRepeats = 1.6;                 // tries for a good one from which there is no second try
+constexpr double kLeastLetIn = 0.25, kLeastLevel = 0.1;       // of the work asked for, of a class
 constexpr double kHoldRepeats = 0.15, kReleaseRepeats = 0.1;  // on the way to pushing a cold replica over
 
 constexpr TimerId kRoundTimer{1}, kWatchTimer{2};
@@ -106,11 +103,10 @@
   std::optional<Nanos> started;
 
   Breaker breaker = Breaker::closed;
-  Nanos cooldown = kCooldown;  // of the next trip
-  Nanos reopens{};             // while open
-  Nanos window_ends{};
-  Nanos proven_until{};           // a trip before then is a repeat, closed or not
-  std::optional<Nanos> anchored;  // when the doubling came; the climb counts from it
+  Nanos cooldown = kCooldown;      // of the next trip
+  Nanos reopens{}, window_ends{};  // while open, while half-open
+  Nanos proven_until{};            // a trip before then is a repeat, closed or not
+  std::optional<Nanos> anchored;   // when the doubling came; the climb counts from it
   double step = 1;
 
   Evidence evidence;
@@ -122,8 +118,7 @@
   std::size_t zone = 0;
   std::optional<std::size_t> subset;  // that it is bound to
   std::vector<DecayingSum> demand;    // by group, in work as far as it can be told
-  Nanos stays_until{};
-  double work = 0;  // of all groups
+  double work = 0;                    // of all groups
 };
 
 // Classes that may go to the same replicas share a table in each subset.
@@ -140,8 +135,7 @@
   std::size_t zone = 0, block = 0;
   std::vector<Lines> standing;  // as ordered, by group
   Row demand;                   // by group
-  double capacity = 0;
-  double users = 0;
+  double capacity = 0, users = 0;
   Nanos written{};  // when they last got a message
   double load() const { return sum(demand) / std::max(1e-9, capacity); }
 };
@@ -176,26 +170,25 @@
 
   std::map<ReplicaId, Replica> replicas;
   std::map<ProxyId, Proxy> proxies;
-  std::vector<std::size_t> blocks;  // of each zone
+  std::vector<std::size_t> blocks = std::vector<std::size_t>(zones, 1);  // of each zone
   std::vector<Subset> subsets;
   std::vector<DecayingSum> class_demand;
   // The more replicas and proxies, the more rarely a sum comes. All evidence decays on a clock that then runs
   // the slower, so that no half-life is shorter than the span of a sum.
   Nanos beat{}, at{};
   double stretch = 1;
-  DecayingSum spans{kUsualHalfLife}, spanned{kUsualHalfLife};
+  DecayingSum spans{kDemandHalfLife}, spanned{kDemandHalfLife};
 
   // As surveyed.
-  std::vector<bool> jams;                                     // by zone
-  Row zone_repeats, repeats;                                  // tries for a good one, by zone
+  std::vector<bool> jams = std::vector<bool>(zones);          // by zone
+  Row repeats = Row(zones, 1.0);                              // tries for a good one, by zone
   double all_tries = 0, all_failed = 0, ready = 0, out = 0;   // the last two in listed weight
   double pressure = 0, mean_load = -1, used = 0, uneven = 0;  // the last one of the proxies of a zone
   Row works;                                                  // demand by zone, of all groups
 
-  // No effect allows more at every class than a second try after proof that the first never ran.
-  Retry retry = Retry::after_proof, ordered_retry = retry;
-  double let_in = 1;  // of the work asked for
-  Row levels;         // as ordered, by class
+  Retry retry = Retry::after_proof, ordered_retry = retry;  // no effect allows more at every class
+  double let_in = 1;                                        // of the work asked for
+  Row levels;                                               // as ordered, by class
   Nanos next_publish{}, queued_at{};
   double queued = 0;  // lines we believe to wait
   bool hurry = false;
@@ -229,12 +222,8 @@
         cold_time(std::max<Nanos>(s.cold_time, 1ms)),
         fall_multiple(s.fall_multiple),
         may_shed(s.admission == Admission::share && s.slices == 0),
-        blocks(zones, 1),
         class_demand(s.classes.size(), DecayingSum{kDemandHalfLife}),
         at(now),
-        jams(zones, false),
-        zone_repeats(zones, 1.0),
-        repeats(zones, 1.0),
         levels(s.classes.size(), 1.0) {
     for (const auto& cls : s.classes) {
       // Nobody tells the work of a class; those who ask allow more time for what takes longer.
@@ -319,18 +308,15 @@
       if (load >= 0)
         loads += load, reporting += 1, uses += load * replica.listed * replica.step,
             size += replica.listed * replica.step;
-      for (auto& subset : subsets) {
-        const bool here = subset.zone == replica.zone && subset.block == replica.block;
-        if (here) subset.capacity += weight_of(replica);
+      for (auto& near : subsets) {
+        if (near.zone == replica.zone && near.block == replica.block) near.capacity += weight_of(replica);
       }
     }
     mean_load = loads / reporting;
     used = load_is_per_size ? 0 : uses / size;
-    const double fleet_repeats = sum(tries) / sum(good);
     for (std::size_t z = 0; z < zones; ++z) {
       // Where zones keep to themselves one may jam alone.
-      zone_repeats[z] = tries[z] / good[z];
-      repeats[z] = std::max(zone_repeats[z], fleet_repeats);
+      repeats[z] = tries[z] / good[z];
       // Guards cold replicas against a jam: proxies shun what failed them and come down on the newest line,
       // so no weight is small enough. What is cold stays out until the jam is over or it is warm.
       const double jam = (repeats[z] - 1) / (fall_multiple - 1);
@@ -425,8 +411,7 @@
   }
 
   // The part of its listed weight that a replica is given: the ratchet, and for a cold one never more than
-  // the capacity it is sure to have by now, warming no slower than evenly, so that every table together
-  // brings it no more than a warm one its load.
+  // the capacity it is sure to have by now, warming no slower than evenly.
   double share(const Replica& replica) const {
     double part = replica.breaker == Breaker::half_open ? kFloor : 1;
     if (replica.anchored)
@@ -537,12 +522,12 @@
     replica.block = static_cast<std::size_t>(std::min_element(taken.begin(), taken.end()) - taken.begin());
   }
 
-  // Each zone's proxies keep to their own zone as far as it has room, judged against the mean load of all,
-  // and the rest goes where room is left; groups with the fewest zones to choose from go first. Demand is
-  // known late, and a zone that keeps to itself takes the whole of the surprise, the more so the fewer and
-  // the less alike its proxies; the fuller the replicas, the more of it all share.
+  // Each zone's proxies keep to their own zone as far as it has room against the mean load of all; the rest
+  // goes where room is left. Demand is known late: the fewer and the less alike the proxies of a zone and the
+  // fuller the replicas, the more of it all zones share. Groups with the fewest zones to choose from go
+  // first.
   std::vector<Lines> compose() const {
-    const double surprise = std::clamp(kSurprise * uneven, 0.01, 1.0);
+    const double surprise = std::clamp(uneven, 0.01, 1.0);
     const double home = used <= 0 ? 1 : std::clamp((kFullEnough / used - 1) / surprise, 1 - surprise, 1.0);
     Row weight(zones), taken(zones);
     for (const auto& [id, replica] : replicas) {
@@ -572,7 +557,7 @@
       }
       for (std::size_t z = 0; z < zones; ++z) {
         // Proxies that choose even out their own zone; spilling only carries their jam into a jam.
-        const bool shut = choosy && 1 - 1 / zone_repeats[z] > kCrowdedFailing;
+        const bool shut = choosy && 1 - 1 / repeats[z] > kCrowdedFailing;
         const double free = shut ? 0 : sum(usable[z]) * load - taken[z];
         spare[z] = std::max(0.05 * sum(usable[z]), free);
       }
@@ -604,8 +589,8 @@
 
   // The weights that a group may use, by zone and block.
   Grid usable_by(const Group& group) const {
-    Grid usable(zones);
-    for (std::size_t z = 0; z < zones; ++z) usable[z].assign(blocks[z], 0.0);
+    Grid usable;
+    for (const auto count : blocks) usable.emplace_back(count);
     for (const auto& [id, replica] : replicas) {
       const bool may = serves(replica) && open_to(group, replica.zone, replica);
       if (may) usable[replica.zone][replica.block] += weight_of(replica);
@@ -672,8 +657,16 @@
     return found;
   }
 
+  bool bare(std::size_t s) const {  // a table of it has no line left to pick
+    return std::any_of(subsets[s].standing.begin(), subsets[s].standing.end(), [&](const Lines& lines) {
+      return std::none_of(lines.begin(), lines.end(), [&](const auto& line) {
+        return serves(replicas.at(line.first)) && !replicas.at(line.first).withdrawn;
+      });
+    });
+  }
+
   struct Change {
-    double off;  // of the weights, against all of the table's
+    double off;  // of the weights, against all of the table's; what has no line yet goes before them
     std::size_t group;
     ReplicaId replica;
     double weight;
@@ -692,7 +685,7 @@
         const auto line = held.find(id);
         const double off = std::abs(weight - (line == held.end() ? 0.0 : line->second));
         if (line == held.end() || off > worth * line->second)
-          changes.push_back({off / weights, g, id, weight});
+          changes.push_back({off / weights + (line == held.end()), g, id, weight});
       }
       for (const auto& [id, weight] : held) {
         // A withdrawn replica may keep its line for its return, unless it is gone for good.
@@ -718,30 +711,40 @@
       if (replica.withdrawn || serves(replica)) continue;
       const auto held = holders(id);
       replica.withdrawn = fits(reply, held, 1, true);
+      // What drains or is gone for good leaves the tables in one go, and so never costs a second line.
+      for (std::size_t t = 0; t < held.size() * groups.size() && replica.phase != Phase::ready; ++t) {
+        const auto s = held[t / groups.size()], g = t % groups.size();
+        if (replica.withdrawn && subsets[s].standing[g].erase(id) > 0) host.set_line(table_id(s, g), id, 0);
+      }
       if (replica.withdrawn) host.withdraw(id, true);
       // No lesser order may take the next message of those that wait for this one.
       for (const auto s : held) kept[s] = kept[s] || !replica.withdrawn;
       hurry = hurry || !replica.withdrawn;
     }
     reply.kept = kept;
-    reply.room -= (kUrgentShare - kChannelShare) * most_waiting;
+    const double reserve = (kUrgentShare - kChannelShare) * most_waiting;
     send_levels(reply);
+    reply.room -= reserve;
     // The fuller the channel, the more a change must matter.
     const double worth = kWorthSending / std::max(0.05, 1 - queued / (kChannelShare * most_waiting));
-    std::vector<std::pair<double, std::size_t>> order;
+    std::vector<std::tuple<bool, double, std::size_t>> order;
     std::vector<std::vector<Change>> changes;
     for (std::size_t s = 0; s < subsets.size(); ++s) {
       changes.push_back(changes_of(s, wanted, worth));
       double off = 0;
       for (const auto& change : changes[s]) off -= change.off;
-      order.push_back({off, s});
+      order.push_back({!bare(s), off, s});
     }
     std::sort(order.begin(), order.end());
     std::set<ReplicaId> unsent;
-    for (const auto& [off, s] : order) {
+    for (const auto& [supplied, off, s] : order) {
+      // Nothing may keep a line from proxies that have none.
+      reply.kept[s] = reply.kept[s] && supplied;
+      reply.room += supplied ? 0 : reserve;
       const double some = std::max(0.0, reply.room / std::max(1.0, subsets[s].users) - head);
       const auto fitting = std::min(changes[s].size(), static_cast<std::size_t>(some));
       const bool sent = fitting > 0 && fits(reply, {s}, static_cast<double>(fitting), false);
+      reply.room -= supplied ? 0 : reserve;
       for (std::size_t i = 0; i < changes[s].size(); ++i) {
         const auto& [share_off, group, id, weight] = changes[s][i];
         auto& held = subsets[s].standing[group];
@@ -753,6 +756,7 @@
         }
       }
     }
+    reply.room += reserve;
     for (auto& [id, replica] : replicas) {
       // The line that it had before its trip must not be let in again.
       if (!replica.withdrawn || !serves(replica) || unsent.contains(id)) continue;
@@ -775,7 +779,7 @@
         changed.push_back(k);
     }
     std::iota(everyone.begin(), everyone.end(), std::size_t{0});
-    if (changed.empty() || !fits(reply, everyone, static_cast<double>(2 * changed.size()), true)) return;
+    if (changed.empty() || !fits(reply, everyone, static_cast<double>(changed.size()), true)) return;
     for (const auto k : changed) {
       levels[k] = wanted[k];
       host.set_level(kEveryTable, static_cast<ClassMask>(1u << k), levels[k], retry);
@@ -802,7 +806,6 @@
     if (proxy.subset) subsets[*proxy.subset].users -= 1;
     subset.users += 1;
     proxy.subset = s;
-    proxy.stays_until = at + kStay;
   }
 
   // The emptiest and the fullest subset of a zone.
@@ -819,16 +822,16 @@
     }
   }
 
-  // Proxies differ and their streams change, so subsets drift apart. One proxy at a time moves from the
-  // fullest of a zone to the emptiest: that costs less than a change of every line.
+  // Proxies differ, their streams change and blocks lose replicas, so subsets drift apart. Proxies move one
+  // by one from the fullest of a zone to the emptiest: that costs less than a change of every line.
   void even_out() {
-    for (std::size_t zone = 0; zone < zones && !subsets.empty(); ++zone) {
-      const auto [idle, full] = extremes(zone);
+    for (std::size_t turn = 0; turn < kMoves * zones && !subsets.empty(); ++turn) {
+      const auto [idle, full] = extremes(turn % zones);
       const double apart = 1 - subsets[idle].load() / std::max(1e-9, subsets[full].load());
       std::pair<const ProxyId, Proxy>* mover = nullptr;
       for (auto& entry : proxies) {
         const auto& proxy = entry.second;
-        if (proxy.subset != full || at < proxy.stays_until) continue;
+        if (proxy.subset != full) continue;
         const bool small = proxy.work <= sum(subsets[full].demand) * apart / 2;
         if (small && (!mover || proxy.work > mover->second.work)) mover = &entry;
       }
@@ -958,10 +961,9 @@
   joined.zone = s.zone_of(zone);
   joined.demand.assign(s.groups.size(), DecayingSum{kDemandHalfLife});
   // Until its sums arrive, what it usually gets stands in for them.
-  const double each = usual_operations_per_second / static_cast<double>(s.class_work.size());
-  const double held = seconds(kDemandHalfLife) / std::numbers::ln2;
+  const double usual = usual_operations_per_second / std::numbers::ln2 * seconds(kDemandHalfLife);
   for (std::size_t k = 0; k < s.class_work.size(); ++k) {
-    joined.demand[s.class_group[k]].add(s.beat, held * each * s.class_work[k]);
+    joined.demand[s.class_group[k]].add(s.beat, usual * s.class_work[k] / s.class_work.size());
   }
   s.bind();
 }
@@ -982,8 +984,7 @@
   s.stretch = std::max(1.0, s.pace() / seconds(kEvidenceHalfLife));
   const auto known = s.replicas.find(sum.replica);
   if (known == s.replicas.end() || now < known->second.evidence_from) return;
-  auto& replica = known->second;
-  auto& evidence = replica.evidence;
+  auto& evidence = known->second.evidence;
   const double good = static_cast<double>(sum.tries) - std::min(sum.failed, sum.tries);
   evidence.tries.add(s.beat, sum.tries);
   evidence.failed.add(s.beat, sum.failed);
@@ -992,7 +993,7 @@
     evidence.time.add(s.beat, good * seconds(sum.mean_time));
     evidence.timed.add(s.beat, good);
   }
-  s.take_load(replica, sum.load);
+  s.take_load(known->second, sum.load);
 }
 
 void Governor::demand_summed(Nanos now, ProxyId proxy, const Demand& demand) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -187,6 +187,119 @@
   EXPECT_EQ(scene.host.bindings.size(), 3u);
 }
 
+Settings large_settings() {
+  auto settings = small_settings();
+  settings.proxies = 300;
+  settings.connections_least = 60;
+  return settings;
+}
+
+// A fleet of its final size from the first list on: subsets are laid once.
+struct LargeScene {
+  LargeScene() : governor(large_settings(), 7, host.now, host) {
+    for (std::uint32_t id = 0; id < 240; ++id) {
+      entries.push_back(entry(id, static_cast<std::uint16_t>(id % 3)));
+      entries.back().cell = CellId{static_cast<std::uint16_t>(id / 18)};
+    }
+    governor.list_received(host.now, ListKind::cached, entries);
+    for (std::uint16_t p = 0; p < 300; ++p) {
+      governor.proxy_joined(host.now, ProxyId{p}, ZoneId{static_cast<std::uint16_t>(p % 3)}, 3, true);
+    }
+  }
+  void pass(Nanos span) {
+    for (const auto until = host.now + span; host.timers.begin()->first <= until;) {
+      const auto [at, timer] = *host.timers.begin();
+      host.timers.erase(host.timers.begin());
+      host.now = at;
+      governor.timer_due(at, timer);
+    }
+  }
+  BookHost host;
+  std::vector<ListEntry> entries;
+  Governor governor;
+};
+
+// Found on the grown deployments: whole tables a zone fill the channel and open too many connections.
+TEST(Subsets, KeepTablesSmallAndUseEveryReplica) {
+  LargeScene scene;
+  scene.pass(10s);
+  EXPECT_EQ(scene.host.bindings.size(), 300u);
+  std::map<ReplicaId, double> connections;
+  std::map<TableId, std::set<ProxyId>> users;
+  for (const auto& [at, table] : scene.host.bound) users[table].insert(at.first);
+  for (const auto& [table, lines] : scene.host.tables) {
+    std::map<CellId, int> cells;
+    for (const auto& [id, weight] : lines) {
+      connections[id] += static_cast<double>(users[table].size());
+      EXPECT_LE(++cells[scene.entries[static_cast<std::uint32_t>(id)].cell], 3) << "a cell in one table";
+    }
+  }
+  EXPECT_EQ(connections.size(), 240u);
+  for (const auto& [id, open] : connections) EXPECT_LE(open, 60);
+}
+
+TEST(Subsets, AreOneAZoneWhereAllFits) {
+  Scene scene;
+  std::set<TableId> used;
+  for (const auto& [at, table] : scene.host.bound) used.insert(table);
+  EXPECT_EQ(used.size(), 3u);
+}
+
+// Found on the grown deployments: a reply larger than the channel never went out, drains included.
+TEST(Channel, DrainsGoOutWhateverElseWaits) {
+  LargeScene scene;
+  scene.pass(1s);
+  std::vector<ListEntry> draining;
+  for (std::uint32_t id = 0; id < 60; ++id) draining.push_back(entry(id, id % 3, Phase::draining));
+  scene.governor.list_received(scene.host.now, ListKind::changes, draining);
+  scene.pass(2s);
+  EXPECT_EQ(scene.host.withdrawn.size(), 60u);
+  for (const auto& [table, lines] : scene.host.tables) EXPECT_GT(lines.size(), 0u);
+}
+
+// Found on orange-river-pivots-later: the roster calls most of a kind gone while they serve.
+TEST(Listing, AListThatLosesMuchAtOnceIsDoubtedUntilTriesFail) {
+  for (const bool gone_binds : {false, true}) {
+    auto settings = small_settings();
+    settings.only_draining_binds = !gone_binds;
+    Scene scene(settings);
+    for (int s = 0; s < 3; ++s) scene.second();
+    std::vector<ListEntry> left;
+    for (std::uint32_t id = 0; id < 4; ++id) left.push_back(entry(id, id % 3));
+    scene.governor.list_received(scene.host.now, ListKind::complete, left);
+    scene.pass(1s);
+    EXPECT_EQ(scene.host.withdrawn.size(), gone_binds ? 5u : 0u);
+    for (int s = 0; s < 4; ++s) scene.second({{4, 10}});
+    EXPECT_TRUE(scene.host.withdrawn.contains(kSick));
+  }
+}
+
+// Found on windhoek-telemetry-later: clients with little time left fail everywhere while replicas have room.
+TEST(Shedding, FailuresOfIdleReplicasAreNotOverload) {
+  Scene scene;
+  for (int s = 0; s < 8; ++s) scene.second({}, 2, 10, -1, 0.3F);
+  for (const auto& level : scene.host.levels) EXPECT_EQ(level.level, 1.0);
+}
+
+// At size a sum covers several seconds: evidence must outlast the wait for the next one.
+TEST(Breaker, JudgesOnSumsThatComeRarely) {
+  Scene scene;
+  for (int s = 0; s < 5; ++s) scene.second({{4, 3}}, 0, 3, -1, 0.5F, 4s);
+  EXPECT_TRUE(scene.host.withdrawn.contains(kSick));
+}
+
+// Found on a release at size: what returns was never let in again while tables filled the channel.
+TEST(Bare, WhatAJamHeldIsLetInAgain) {
+  Scene scene;
+  for (int s = 0; s < 3; ++s) scene.second();
+  scene.restart(4, 1);
+  for (int s = 0; s < 3; ++s) scene.second({}, 8);
+  ASSERT_TRUE(scene.host.withdrawn.contains(kSick));
+  for (const std::uint32_t id : {1, 7}) scene.list(entry(id, 1, Phase::gone));
+  for (int s = 0; s < 4; ++s) scene.second();
+  EXPECT_FALSE(scene.host.withdrawn.contains(kSick));
+}
+
 TEST(Listing, AFailedWatchIsAskedAnewAfterAWhile) {
   auto settings = small_settings();
   settings.list_by_asking = true;
--- a/tests/support.h
+++ b/tests/support.h
@@ -146,8 +146,8 @@
   }
   // Lets a second pass, then hands over what a zone met at each replica; `failed` of ten tries at `sick`.
   void second(const std::map<std::uint32_t, unsigned>& failed = {}, unsigned at_all = 0, unsigned tries = 10,
-              int silent = -1) {
-    pass(1s);
+              int silent = -1, float use = 0.5F, Nanos span = 1s) {
+    pass(span);
     for (std::uint32_t id = 0; id < 9; ++id) {
       if (static_cast<int>(id) == silent) continue;
       if (host.withdrawn.contains(ReplicaId{id})) continue;
@@ -156,8 +156,8 @@
       sum.tries = tries;
       sum.failed = std::min(tries, failed.contains(id) ? failed.at(id) : at_all);
       sum.mean_time = 100ms;
-      sum.span = 1s;
-      sum.load = {0.5F};
+      sum.span = span;
+      sum.load = {use};
       governor.replica_summed(host.now, sum);
       book();
     }
