--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -152,7 +152,7 @@
   const Nanos round_every;
   const Nanos message_gap;  // to one proxy, so that no window ever holds too many
   const Nanos publish_every, message_time;
-  const double lines_per_second, most_waiting, head;
+  const double lines_per_second, most_waiting, stated_head;
   const double all_proxies, own_proxies, connections_least;
   const bool by_zone;  // proxies go to a governor of their zone, and there are others
   const bool gone_binds;
@@ -190,7 +190,7 @@
   double let_in = 1;                                        // of the work asked for
   Row levels;                                               // as ordered, by class
   Nanos next_publish{}, queued_at{};
-  double queued = 0;  // lines we believe to wait
+  double head = stated_head, queued = 0;  // lines we believe to wait
   bool hurry = false;
   unsigned rounds = 0;
   int list_failures = 0;
@@ -210,7 +210,7 @@
         message_time(s.message_time),
         lines_per_second(std::max(1.0, s.channel_lines_per_second * kChannelShare)),
         most_waiting(s.channel_most_waiting),
-        head(s.message_head_lines),
+        stated_head(s.message_head_lines),
         all_proxies(std::max(1.0, static_cast<double>(s.proxies))),
         own_proxies(all_proxies / std::max(1.0, static_cast<double>(s.governors))),
         connections_least(s.connections_least),
@@ -666,7 +666,7 @@
   }
 
   struct Change {
-    double off;  // of the weights, against all of the table's; what has no line yet goes before them
+    double off;  // of the weights, against all of the table's
     std::size_t group;
     ReplicaId replica;
     double weight;
@@ -684,8 +684,9 @@
       for (const auto& [id, weight] : want) {
         const auto line = held.find(id);
         const double off = std::abs(weight - (line == held.end() ? 0.0 : line->second));
-        if (line == held.end() || off > worth * line->second)
-          changes.push_back({off / weights + (line == held.end()), g, id, weight});
+        // A line that comes or falls by half, as of what restarted cold, goes before any other.
+        const bool first = line == held.end() || weight < line->second / 2;
+        if (first || off > worth * line->second) changes.push_back({off / weights + first, g, id, weight});
       }
       for (const auto& [id, weight] : held) {
         // A withdrawn replica may keep its line for its return, unless it is gone for good.
@@ -705,7 +706,6 @@
     const auto wanted = compose();
     Reply reply{kUrgentShare * most_waiting - waiting(), std::vector<bool>(subsets.size()),
                 std::vector<bool>(subsets.size())};
-    auto kept = reply.kept;
     hurry = false;
     for (auto& [id, replica] : replicas) {
       if (replica.withdrawn || serves(replica)) continue;
@@ -717,16 +717,15 @@
         if (replica.withdrawn && subsets[s].standing[g].erase(id) > 0) host.set_line(table_id(s, g), id, 0);
       }
       if (replica.withdrawn) host.withdraw(id, true);
-      // No lesser order may take the next message of those that wait for this one.
-      for (const auto s : held) kept[s] = kept[s] || !replica.withdrawn;
+      // No later order may take the next message of those that wait for this one.
+      for (const auto s : held) reply.kept[s] = reply.kept[s] || !replica.withdrawn;
       hurry = hurry || !replica.withdrawn;
     }
-    reply.kept = kept;
     const double reserve = (kUrgentShare - kChannelShare) * most_waiting;
     send_levels(reply);
     reply.room -= reserve;
     // The fuller the channel, the more a change must matter.
-    const double worth = kWorthSending / std::max(0.05, 1 - queued / (kChannelShare * most_waiting));
+    const double worth = kWorthSending / std::max(0.2, 1 - queued / (kChannelShare * most_waiting));
     std::vector<std::tuple<bool, double, std::size_t>> order;
     std::vector<std::vector<Change>> changes;
     for (std::size_t s = 0; s < subsets.size(); ++s) {
@@ -785,6 +784,7 @@
       host.set_level(kEveryTable, static_cast<ClassMask>(1u << k), levels[k], retry);
     }
     ordered_retry = retry;
+    head = stated_head + static_cast<double>(levels.size());  // every later message carries them
   }
 
   // Gives a proxy all tables of a subset at once, with every standing withdrawal.
