--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -39,13 +39,13 @@
 constexpr Nanos kDemandHalfLife = 4s;
 constexpr unsigned kProbeRounds = 4;  // each replica once in so many, where loads come no other way
 constexpr int kStepRounds = 6;        // from one load step to the next
-constexpr double kStepBand = 0.2;     // off the mean before a step is taken
-constexpr double kStepMost = 1.25;    // one step at the most
+constexpr double kStepBand = 0.2, kStepMost = 1.25;  // off the mean before one, and in one at the most
 constexpr double kStepLeast = 0.5, kStepTop = 1.25;  // of the listed weight
 
 constexpr double kLocalSlack = 0.15;       // a zone may run this far above the mean load before it spills
 constexpr double kChoosyLocalSlack = 0.6;  // proxies that pick the less busy of two even out their zone
 constexpr double kFullEnough = 0.85;       // mean use of the replicas that surprises must not pass
+constexpr double kSurprise = 1.6;          // a zone's demand may be off by so much of its proxies' unevenness
 constexpr double kWorthSending = 0.08;     // relative change of a line below which it is not sent
 constexpr double kSmallestSpill = 0.03;    // a thinner flow into a zone costs connections for nothing
 
@@ -527,7 +527,7 @@
   // fuller the replicas, the more of it all zones share. Groups with the fewest zones to choose from go
   // first.
   std::vector<Lines> compose() const {
-    const double surprise = std::clamp(uneven, 0.01, 1.0);
+    const double surprise = std::clamp(kSurprise * uneven, 0.01, 1.0);
     const double home = used <= 0 ? 1 : std::clamp((kFullEnough / used - 1) / surprise, 1 - surprise, 1.0);
     Row weight(zones), taken(zones);
     for (const auto& [id, replica] : replicas) {
