--- /dev/null
+++ b/src/book/claims.cpp
@@ -0,0 +1,26 @@
+#include "book/claims.h"
+
+#include <algorithm>
+
+namespace ospreypost::book {
+
+Claims::Standing Claims::met(ProxyId proxy, const Met& met) {
+  auto [known, first] = epochs_.try_emplace(proxy, start_);
+  auto& epoch = known->second;
+  if (first) {
+    if (met.any) epoch = std::max(epoch, met.epoch + 1);
+    return Standing::claimed;
+  }
+  if (!met.any || met.epoch < epoch) return Standing::ours;
+  if (met.owner == owner_ && met.epoch == epoch) return Standing::ours;
+  if (!met.stale) return Standing::theirs;
+  epoch = met.epoch + 1;
+  return Standing::claimed;
+}
+
+std::uint64_t Claims::epoch(ProxyId proxy) const {
+  const auto known = epochs_.find(proxy);
+  return known == epochs_.end() ? 0 : known->second;
+}
+
+}  // namespace ospreypost::book
--- a/src/book/pushes.cpp
+++ b/src/book/pushes.cpp
@@ -38,6 +38,19 @@
   proxy.spoke = proxy.not_before = now;
 }
 
+bool Pushes::met(Nanos now, ProxyId id, std::optional<VersionNumber> version) {
+  const auto& proxy = proxies_.at(id);
+  const auto is = [&](const std::shared_ptr<const Holding>& holding) {
+    return version ? holding && holding->since == *version : !holding;
+  };
+  if (proxy.joined && (is(proxy.given) || is(proxy.sent))) {
+    taken(now, id, {});
+    return false;
+  }
+  joined(now, id, !version);
+  return true;
+}
+
 void Pushes::wait(Proxy& proxy, double lines) {
   counts_.waiting += lines - proxy.waiting;
   proxy.waiting = lines;
@@ -72,12 +85,14 @@
     auto& proxy = entry.second;
     if (proxy.under_way || now < proxy.not_before) continue;
     const bool quiet = now >= proxy.spoke + limits_.renew;
-    const int kind = !wants(proxy) ? 3 : !proxy.given ? 1 : proxy.pressing_since ? 0 : 2;
-    if (kind == 3 && proxy.joined && !quiet) continue;
-    if ((kind == 1 || kind == 2) && now < channel_free_) continue;
+    int kind = !wants(proxy) ? 3 : !proxy.given ? 1 : proxy.pressing_since ? 0 : 2;
     // What was sent before and may have arrived is no new message.
     const bool again = proxy.sent == proxy.standing;
-    if (kind < 3 && !again && !limit_.allows(now, proxy.bucket, kind < 2)) continue;
+    const bool waits = ((kind == 1 || kind == 2) && now < channel_free_) ||
+                       (kind < 3 && !again && !limit_.allows(now, proxy.bucket, kind < 2));
+    // Its lease runs while it waits, so it gets signs of life like any other.
+    if (waits) kind = 3;
+    if (kind == 3 && proxy.joined && !quiet) continue;
     const std::tuple rank{kind, proxy.pressing_since.value_or(proxy.spoke)};
     if (!best || rank < best_rank) best = &entry, best_rank = rank;
   }
@@ -142,14 +157,26 @@
     const bool silent = now >= proxy.spoke + limits_.press_most + 2 * limits_.renew;
     if (!proxy.joined || !(unheld || silent)) continue;
     given_up.push_back(id);
-    wait(proxy, 0);
-    proxy.joined = false;
-    proxy.given = proxy.sent = proxy.standing = nullptr;
-    proxy.pressing_since.reset();
+    give_up(proxy);
   }
   return given_up;
 }
 
+void Pushes::give_up(Proxy& proxy) {
+  wait(proxy, 0);
+  proxy.joined = false;
+  proxy.given = proxy.sent = proxy.standing = nullptr;
+  proxy.pressing_since.reset();
+}
+
+void Pushes::refused(Nanos now, ProxyId id) {
+  failed(now, id);
+  const auto known = proxies_.find(id);
+  if (known == proxies_.end()) return;
+  give_up(known->second);
+  known->second.not_before = now + kPauseMost;
+}
+
 bool Pushes::held(ProxyId id) const {
   const auto known = proxies_.find(id);
   return known != proxies_.end() && known->second.joined;
--- a/src/book/pushes.h
+++ b/src/book/pushes.h
@@ -38,6 +38,9 @@
   void introduce(Nanos now, ProxyId proxy);
   // It answered. `fresh`: it goes by no table yet; else nobody knows by which, and one must reach it in time.
   void joined(Nanos now, ProxyId proxy, bool fresh);
+  // It answered a sign of life: the newest that lies there is of that version, or nothing does. True if it
+  // joins by that, anew if what lies there is not what it was sent.
+  bool met(Nanos now, ProxyId proxy, std::optional<VersionNumber> version);
   void ordered(Nanos now, ProxyId proxy, std::shared_ptr<const Holding> holding, std::size_t lines);
 
   // What should be sent now, if anything; it counts as under way until `taken` or `failed`. A null holding
@@ -49,6 +52,8 @@
   void taken(Nanos now, ProxyId proxy, VersionNumber since);
   // Refused, lost, or not in time: what it goes by is unknown.
   void failed(Nanos now, ProxyId proxy);
+  // Refused by one that follows somebody else: it is not ours, until it joins again.
+  void refused(Nanos now, ProxyId proxy);
   // Those that are given up on; each is named once.
   std::vector<ProxyId> lost(Nanos now);
   bool held(ProxyId proxy) const;
@@ -76,6 +81,7 @@
   }
   void wait(Proxy& proxy, double lines);
   void press(Nanos now, Proxy& proxy) const;
+  void give_up(Proxy& proxy);
 
   const PushLimits limits_;
   const TokenLimit limit_;
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -1,6 +1,8 @@
 // What each sub-command does; each returns the exit status.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace ospreypost::cli {
@@ -27,6 +29,7 @@
   std::string path;
   std::string keep;  // a folder for what the day leaves behind; empty: nothing is kept
   bool equal_weights = false;
+  std::optional<std::uint32_t> seed;  // instead of the day's own
 };
 // 3 if a rule was broken.
 int day(const DayOptions& options);
--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -20,7 +20,8 @@
 }  // namespace
 
 int day(const DayOptions& options) {
-  const auto script = day::read_script(options.path);
+  auto script = day::read_script(options.path);
+  if (options.seed) script.seed = *options.seed;
   day::PlayOptions playing;
   playing.program = std::filesystem::read_symlink("/proc/self/exe").string();
   playing.folder = options.keep;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -47,6 +47,7 @@
   day->add_option("FILE", playing.path, "the day (XML)")->required();
   day->add_option("--keep", playing.keep,
                   "keep the roll, the configuration and the governor's log in this folder");
+  day->add_option("--seed", playing.seed, "instead of the day's own");
   day->add_flag("--equal-weights", playing.equal_weights,
                 "without a governor, for comparison: equal weights all day");
 
--- a/src/cli/receive.cpp
+++ b/src/cli/receive.cpp
@@ -12,6 +12,8 @@
   sigaddset(&stopping, SIGTERM);
   sigaddset(&stopping, SIGINT);
   pthread_sigmask(SIG_BLOCK, &stopping, nullptr);
+  // A file system at its limit is an error like any other, and answered as one.
+  std::signal(SIGXFSZ, SIG_IGN);
   files::ReceiverOptions serving;
   serving.listen = net::Address::parse(options.listen);
   serving.folder = options.folder;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -16,6 +16,8 @@
   sigaddset(&stopping, SIGTERM);
   sigaddset(&stopping, SIGINT);
   pthread_sigmask(SIG_BLOCK, &stopping, nullptr);
+  // A file system at its limit is an error like any other; serving goes on.
+  std::signal(SIGXFSZ, SIG_IGN);
 
   const auto log = make_logger(config.logging, config.name);
   governor::Service service(config, log);
--- a/src/day/child.cpp
+++ b/src/day/child.cpp
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -71,6 +72,13 @@
   return status;
 }
 
+void Child::fill_disk(bool full) {
+  rlimit limit{};
+  if (process_ < 0 || ::prlimit(process_, RLIMIT_FSIZE, nullptr, &limit) != 0) return;
+  limit.rlim_cur = full ? 0 : limit.rlim_max;
+  ::prlimit(process_, RLIMIT_FSIZE, &limit, nullptr);
+}
+
 void Child::kill() {
   if (process_ < 0) return;
   ::kill(process_, SIGKILL);
--- a/src/day/child.h
+++ b/src/day/child.h
@@ -16,6 +16,8 @@
   // not.
   Child(const std::string& program, std::vector<std::string> words);
   ~Child() { kill(); }
+  // From now on it cannot write a byte to any file; or it can again.
+  void fill_disk(bool full);
   // Outright, as a machine that loses its power.
   void kill();
   // Asks it to end; how long it took. Throws net::Error if its status was not 0.
--- a/src/day/run.cpp
+++ b/src/day/run.cpp
@@ -80,9 +80,12 @@
     check_names(script, config_);
     std::filesystem::create_directories(folder_);
     stage_.emplace(script, config_, folder_, trace_, options.sabotage);
-    auto text = stage_->configuration(config::read_file(script.governor_path), script.governor_path);
-    if (options.rig) text = options.rig(std::move(text));
-    std::ofstream(config_path_) << text;
+    const auto original = config::read_file(script.governor_path);
+    for (const std::size_t number : {1, 2}) {
+      auto text = stage_->configuration(original, script.governor_path, number);
+      if (options.rig) text = options.rig(std::move(text));
+      std::ofstream(number == 1 ? config_path_ : config_path_ + ".2") << text;
+    }
   }
   ~Run() {
     std::error_code ignored;
@@ -115,6 +118,7 @@
     Played played;
     played.stop_took = governor_ ? governor_->stop() : Nanos{};
     trace_.add(judge::Governing{now(), false});
+    second_.reset();
     stage_->stop();
     const auto limits = limits_of();
     played.verdict = judge::judge(trace_, limits, end, worst_waiting_);
@@ -149,7 +153,9 @@
     const auto add = [&](Nanos at, const std::string& what, std::function<void()> act) {
       if (at < script_.length) steps.push_back({at, what, std::move(act)});
     };
-    for (const auto& trouble : script_.troubles) add_trouble(trouble, add);
+    auto troubles = script_.troubles;
+    for (auto& trouble : drawn(script_)) troubles.push_back(std::move(trouble));
+    for (const auto& trouble : troubles) add_trouble(trouble, add);
     std::stable_sort(steps.begin(), steps.end(), [](auto& a, auto& b) { return a.at < b.at; });
     return steps;
   }
@@ -194,6 +200,37 @@
               [this, name] { stage_->start_receiver(options_.program, name); });
         }
         return;
+      case TroubleKind::push_fault:
+        for (const auto& name : trouble.whom) {
+          add(trouble.at, "pushes " + trouble.becomes + " " + name,
+              [this, name, carriage = carriage_of(trouble.becomes), by = trouble.second] {
+                stage_->push_fault(name, carriage, by);
+              });
+          add(end, "pushes prompt " + name,
+              [this, name] { stage_->push_fault(name, standin::Carriage::prompt, Nanos{}); });
+        }
+        return;
+      case TroubleKind::deaf:
+        for (const auto& name : trouble.whom) {
+          add(trouble.at, "deaf " + name, [this, name] { stage_->be_deaf(name, true); });
+          add(end, "reads again " + name, [this, name] { stage_->be_deaf(name, false); });
+        }
+        return;
+      case TroubleKind::disk_full:
+        for (const auto& name : trouble.whom) {
+          const auto fill = [this, name](bool full) {
+            if (!stage_->fill_disk(name, full) && governor_) governor_->fill_disk(full);
+          };
+          add(trouble.at, "disk full " + name, [fill] { fill(true); });
+          add(end, "room again " + name, [fill] { fill(false); });
+        }
+        return;
+      case TroubleKind::second_governor:
+        add(trouble.at, "second governor starts", [this] {
+          second_.emplace(options_.program, std::vector<std::string>{"serve", config_path_ + ".2"});
+        });
+        add(end, "second governor killed", [this] { second_.reset(); });
+        return;
       case TroubleKind::governor_killed:
         add(trouble.at, "governor killed", [this] {
           count_waiting();
@@ -203,7 +240,8 @@
         add(end, "governor starts", [this] { raise_governor(); });
         return;
       case TroubleKind::roll:
-        add(trouble.at, "roll " + trouble.becomes, [&roll, &trouble] { roll.spoil(trouble.becomes); });
+        add(trouble.at, "roll " + trouble.becomes,
+            [&roll, becomes = trouble.becomes] { roll.spoil(becomes); });
         add(end, "roll whole again", [&roll] { roll.spoil(""); });
         return;
       default:
@@ -236,6 +274,14 @@
     }
   }
 
+  static standin::Carriage carriage_of(const std::string& word) {
+    using standin::Carriage;
+    if (word == "late") return Carriage::late;
+    if (word == "twice") return Carriage::twice;
+    if (word == "older") return Carriage::older;
+    return word == "torn" ? Carriage::torn : Carriage::slow;
+  }
+
   void play_steps(const std::vector<Step>& steps) {
     for (const auto& step : steps) {
       sleep_until(begin_ + step.at);
@@ -294,7 +340,7 @@
   const std::string config_path_;
   judge::Trace trace_;
   std::optional<Stage> stage_;
-  std::optional<Child> governor_;
+  std::optional<Child> governor_, second_;
   Nanos begin_{};
   double worst_waiting_ = 0;
   std::vector<std::pair<Nanos, std::string>> timeline_;
--- a/src/day/script.cpp
+++ b/src/day/script.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <random>
 
 #include "schemas.h"
 
@@ -20,11 +21,16 @@
                                                           {"drain", TroubleKind::drain},
                                                           {"receiver-killed", TroubleKind::receiver_killed},
                                                           {"cut", TroubleKind::cut},
+                                                          {"push-fault", TroubleKind::push_fault},
+                                                          {"deaf", TroubleKind::deaf},
+                                                          {"disk-full", TroubleKind::disk_full},
+                                                          {"second-governor", TroubleKind::second_governor},
                                                           {"governor-killed", TroubleKind::governor_killed},
                                                           {"roll", TroubleKind::roll}};
 
 bool is_of_proxies(TroubleKind kind) {
-  return kind == TroubleKind::cut || kind == TroubleKind::receiver_killed;
+  return kind == TroubleKind::cut || kind == TroubleKind::receiver_killed ||
+         kind == TroubleKind::push_fault || kind == TroubleKind::deaf || kind == TroubleKind::disk_full;
 }
 
 Trouble read_trouble(const Element& element) {
@@ -40,10 +46,30 @@
   if (trouble.second > trouble.lasts) element.fail("is over before its second part");
   if (trouble.kind == TroubleKind::slow) trouble.factor = element.number("factor");
   if (trouble.kind == TroubleKind::roll) trouble.becomes = element.text("becomes");
+  if (trouble.kind == TroubleKind::push_fault) {
+    trouble.becomes = element.text("becomes");
+    trouble.second = element.time("by");
+  }
   trouble.whom = element.words(is_of_proxies(trouble.kind) ? "proxies" : "replicas");
   return trouble;
 }
 
+Deaths read_deaths(const Element& element) {
+  Deaths deaths;
+  deaths.from = element.time("from");
+  deaths.to = element.time("to");
+  deaths.every = element.time("every");
+  deaths.off = element.time("off");
+  deaths.within = element.time("within");
+  deaths.governor = element.number("governor");
+  deaths.replicas = element.words("replicas");
+  deaths.proxies = element.words("proxies");
+  if (deaths.off + deaths.within >= deaths.every) element.fail("dies before it is back");
+  if (deaths.replicas.empty()) element.fail("drains nobody");
+  if (deaths.governor < 1 && deaths.proxies.empty()) element.fail("names no proxy whose receiver could die");
+  return deaths;
+}
+
 void read_fleet(const Element& fleet, Script& script) {
   for (const auto& element : fleet.children()) {
     if (element.name() == "replicas") {
@@ -80,11 +106,44 @@
   for (const auto& cls : root.child("traffic").children())
     script.traffic.push_back({cls.text("name"), cls.number("rate"), cls.time("work")});
   if (const auto troubles = root.find_child("troubles")) {
-    for (const auto& element : troubles->children()) script.troubles.push_back(read_trouble(element));
+    for (const auto& element : troubles->children()) {
+      element.name() == "deaths" ? script.deaths.push_back(read_deaths(element))
+                                 : script.troubles.push_back(read_trouble(element));
+    }
   }
   return script;
 }
 
+std::vector<Trouble> drawn(const Script& script) {
+  std::vector<Trouble> troubles;
+  std::mt19937 chance(script.seed);
+  const auto one_of = [&](const std::vector<std::string>& names) {
+    return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(chance)];
+  };
+  for (const auto& deaths : script.deaths) {
+    std::size_t turn = 0;
+    for (Nanos at = deaths.from; at < deaths.to; at += deaths.every, ++turn) {
+      // In turn, so that nobody drains who does already.
+      Trouble drain;
+      drain.kind = TroubleKind::drain;
+      drain.at = at;
+      drain.lasts = deaths.every * (deaths.replicas.size() - 1);
+      drain.second = drain.lasts;
+      drain.whom = {deaths.replicas[turn % deaths.replicas.size()]};
+      troubles.push_back(drain);
+      std::uniform_int_distribution<Nanos::rep> moment(0, deaths.within.count());
+      const bool governor = std::uniform_real_distribution<double>(0, 1)(chance) < deaths.governor;
+      Trouble death;
+      death.kind = governor ? TroubleKind::governor_killed : TroubleKind::receiver_killed;
+      death.at = at + Nanos(moment(chance));
+      death.lasts = deaths.off;
+      if (!governor) death.whom = {one_of(deaths.proxies)};
+      troubles.push_back(death);
+    }
+  }
+  return troubles;
+}
+
 Script read_script(const std::string& path) {
   return parse_script(config::read_file(path), path, std::filesystem::path(path).parent_path().string());
 }
@@ -112,6 +171,14 @@
     need(has(config.classes, terminals.cls), "class", terminals.cls);
   }
   for (const auto& traffic : script.traffic) need(has(config.classes, traffic.name), "class", traffic.name);
+  for (const auto& deaths : script.deaths) {
+    for (const auto& name : deaths.replicas) need(has(replicas, name), "replica", name);
+    for (const auto& name : deaths.proxies) {
+      const auto known = std::find_if(config.proxies.known.begin(), config.proxies.known.end(),
+                                      [&](const auto& proxy) { return proxy.name == name; });
+      need(known != config.proxies.known.end() && known->receiver, "proxy with a receiver called", name);
+    }
+  }
   for (const auto& trouble : script.troubles) {
     const bool of_proxies = is_of_proxies(trouble.kind);
     for (const auto& name : trouble.whom)
--- a/src/day/script.h
+++ b/src/day/script.h
@@ -40,6 +40,10 @@
   drain,
   cut,
   receiver_killed,
+  push_fault,
+  deaf,
+  disk_full,
+  second_governor,
   governor_killed,
   roll
 };
@@ -51,7 +55,14 @@
   Nanos second{};  // crash: until the roll notices; drain: until it leaves
   double factor = 1;
   std::vector<std::string> whom;  // replicas or proxies
-  std::string becomes;            // of the roll
+  std::string becomes;            // of the roll, or of what is pushed
+};
+
+// Again and again a replica drains, and while that is pushed the governor or a proxy's receiver dies.
+struct Deaths {
+  Nanos from{}, to{}, every{}, off{}, within{};
+  double governor = 0;  // share of the deaths that are the governor's
+  std::vector<std::string> replicas, proxies;
 };
 
 struct Script {
@@ -64,11 +75,14 @@
   std::vector<Terminals> terminals;
   std::vector<ClassTraffic> traffic;
   std::vector<Trouble> troubles;
+  std::vector<Deaths> deaths;
 };
 
 // Throws config::Faulty. Names are checked against the governor's configuration.
 Script parse_script(std::string_view text, const std::string& label, const std::string& folder);
 Script read_script(const std::string& path);
+// What the deaths come to, by the script's seed.
+std::vector<Trouble> drawn(const Script& script);
 void check_names(const Script& script, const config::Config& config);
 
 }  // namespace ospreypost::day
--- a/src/day/stage.cpp
+++ b/src/day/stage.cpp
@@ -10,10 +10,10 @@
 namespace ospreypost::day {
 namespace {
 
-constexpr int kReplicas = 1, kProxies = 2, kResolvers = 3, kReceivers = 4;
+constexpr int kReplicas = 1, kProxies = 2, kResolvers = 3, kReceivers = 4, kCouriers = 5;
 constexpr std::uint64_t kTerminalIds = 1'000'000'000;
 
-Nanos now() { return std::chrono::steady_clock::now().time_since_epoch(); }
+Nanos now() { return Stage::now(); }
 
 double wall_seconds() {
   return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -139,7 +139,12 @@
     shape.sabotage = sabotage;
     entries_[known.name] = shape.entry;
     if (known.is_pushed_to()) folders_[known.name] = (folder / ("tables-" + known.name)).string();
-    if (known.receiver) receivers_at_[known.name] = block_.address(kReceivers, proxies_.size() + 1, 7700);
+    if (known.receiver) {
+      receivers_at_[known.name] = block_.address(kReceivers, proxies_.size() + 1, 7700);
+      couriers_[known.name] = std::make_unique<standin::Courier>(
+          block_.address(kCouriers, proxies_.size() + 1, 7700), receivers_at_.at(known.name),
+          static_cast<std::uint32_t>(chance()));
+    }
     proxies_[known.name] = std::make_unique<standin::Proxy>(shape, trace, chance());
   }
   for (const auto& between : script.resolvers) {
@@ -159,19 +164,21 @@
   }
 }
 
-std::string Stage::configuration(const std::string& text, const std::string& label) const {
+std::string Stage::configuration(const std::string& text, const std::string& label,
+                                 std::size_t number) const {
   const config::Document document(text, label, config::kGovernorSchema);
   const auto root = document.root();
   root.child("roll").set("path", roll_path_.string());
-  root.child("dns").set("listen", dns().text());
-  root.child("reports").set("listen", reports().text());
+  root.child("dns").set("listen", block_.address(0, number, 5300).text());
+  root.child("reports").set("listen", block_.address(0, number, 4318).text());
   for (const auto& proxy : root.child("proxies").children()) {
     proxy.set("entry", entries_.at(proxy.text("name")).text());
     if (proxy.find("folder")) proxy.set("folder", folders_.at(proxy.text("name")));
-    if (proxy.find("receiver")) proxy.set("receiver", receivers_at_.at(proxy.text("name")).text());
+    if (proxy.find("receiver")) proxy.set("receiver", couriers_.at(proxy.text("name"))->address().text());
     if (dns_of_.contains(proxy.text("name"))) proxy.set("vouched", "false");
   }
-  if (const auto logging = root.find_child("logging")) logging->set("path", log_path_.string());
+  if (const auto logging = root.find_child("logging"))
+    logging->set("path", log_path_.string() + (number > 1 ? std::to_string(number) : ""));
   return document.text();
 }
 
@@ -200,6 +207,7 @@
   for (auto& terminal : terminals_) terminal->stop();
   for (auto& [name, proxy] : proxies_) proxy->stop();
   for (auto& resolver : resolvers_) resolver->stop();
+  for (auto& [name, courier] : couriers_) courier->stop();
   receivers_.clear();
   for (auto& [name, replica] : replicas_) replica->crash();
 }
@@ -222,6 +230,27 @@
   receivers_.at(proxy)->kill();
 }
 
+void Stage::push_fault(const std::string& proxy, standin::Carriage carriage, Nanos by) {
+  using standin::Carriage;
+  couriers_.at(proxy)->carry(carriage, by);
+  const bool arrives =
+      carriage == Carriage::prompt || carriage == Carriage::late || carriage == Carriage::twice;
+  note_cut(proxy, !arrives);
+}
+
+void Stage::be_deaf(const std::string& proxy, bool deaf) {
+  proxies_.at(proxy)->be_deaf(deaf);
+  note_cut(proxy, deaf);
+}
+
+bool Stage::fill_disk(const std::string& proxy, bool full) {
+  note_cut(proxy, full);
+  const auto receiver = receivers_.find(proxy);
+  if (receiver == receivers_.end()) return false;
+  receiver->second->fill_disk(full);
+  return true;
+}
+
 void Stage::cut(const std::string& name, bool cut) {
   auto reach = reach_of(name);
   reach.cut = cut;
--- a/src/day/stage.h
+++ b/src/day/stage.h
@@ -10,6 +10,7 @@
 
 #include "day/child.h"
 #include "day/script.h"
+#include "standin/courier.h"
 #include "standin/proxy.h"
 #include "standin/replica.h"
 #include "standin/resolver.h"
@@ -59,7 +60,8 @@
         judge::Trace& trace, const standin::Sabotage& sabotage);
   ~Stage() { stop(); }
   // The governor's configuration for this stage, from the text of the original.
-  std::string configuration(const std::string& text, const std::string& label) const;
+  // `number`: 1, or 2 for one that runs beside it.
+  std::string configuration(const std::string& text, const std::string& label, std::size_t number) const;
   void start();
   // Without a governor: every proxy goes by all replicas with equal weights, all day.
   void start_with_equal_weights();
@@ -68,6 +70,7 @@
   standin::Proxy& proxy(const std::string& name) { return *proxies_.at(name); }
   standin::Replica& replica(const std::string& name) { return *replicas_.at(name); }
   RollWriter& roll() { return roll_; }
+  static Nanos now() { return std::chrono::steady_clock::now().time_since_epoch(); }
   net::Address dns() const { return block_.address(0, 1, 5300); }
   net::Address reports() const { return block_.address(0, 1, 4318); }
   void cut(const std::string& proxy, bool cut);
@@ -75,6 +78,13 @@
   void start_receivers(const std::string& program);
   void start_receiver(const std::string& program, const std::string& proxy);
   void kill_receiver(const std::string& proxy);
+  // Of proxies with a receiver; nobody can bring them anything while what is pushed does not arrive.
+  void push_fault(const std::string& proxy, standin::Carriage carriage, Nanos by);
+  void be_deaf(const std::string& proxy, bool deaf);
+  // False if no receiver writes that proxy's folder.
+  bool fill_disk(const std::string& proxy, bool full);
+  // For what keeps the governor from reaching a proxy.
+  void note_cut(const std::string& proxy, bool cut) { trace_.add(judge::Cut{now(), proxy, cut}); }
 
  private:
   standin::Reach reach_of(const std::string& proxy) const;
@@ -88,6 +98,7 @@
   std::map<std::string, std::string> folders_;        // of proxies that are pushed to
   std::map<std::string, net::Address> receivers_at_;  // of those with a receiver
   std::map<std::string, std::unique_ptr<Child>> receivers_;
+  std::map<std::string, std::unique_ptr<standin::Courier>> couriers_;  // before them
   std::map<std::string, std::unique_ptr<standin::Replica>> replicas_;
   std::map<std::string, std::unique_ptr<standin::Proxy>> proxies_;
   std::vector<std::unique_ptr<standin::Resolver>> resolvers_;
--- a/src/files/folder.cpp
+++ b/src/files/folder.cpp
@@ -119,6 +119,10 @@
   if (newest_taken && generation.stamp < *newest_taken) return Taken::older;
   if (newest_taken && generation.stamp == *newest_taken && whole(folder))
     return linked() == generation.stamp ? Taken::same : Taken::older;
+  if (newest_taken && generation.stamp.epoch == newest_taken->epoch) {
+    const auto last = whole(path_ / name_of(*newest_taken));
+    if (last && last->owner != generation.owner) return Taken::older;
+  }
   std::error_code error;
   // Left behind by a push that was cut short.
   step("clear");
@@ -146,6 +150,27 @@
   return std::max(linked(), marked);
 }
 
+std::optional<Folder::Newest> Folder::newest_owned() const {
+  const auto stamp = newest();
+  if (!stamp) return std::nullopt;
+  const auto generation = whole(path_ / name_of(*stamp));
+  return Newest{*stamp, generation ? generation->owner : ""};
+}
+
+// Not made durable: after a crash of the machine nobody has spoken.
+void Folder::touch() {
+  const int file = ::open((path_ / "spoken").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0644);
+  if (file < 0) return;
+  ::futimens(file, nullptr);
+  ::close(file);
+}
+
+std::int64_t Folder::touched() const {
+  struct stat found {};
+  if (::stat((path_ / "spoken").c_str(), &found) != 0) return 0;
+  return found.st_mtim.tv_sec * 1'000'000'000 + found.st_mtim.tv_nsec;
+}
+
 void Folder::roll_back(std::uint64_t version) {
   const auto newest_taken = newest();
   const auto now = newest_taken ? whole(path_ / name_of(*newest_taken)) : std::nullopt;
--- a/src/files/folder.h
+++ b/src/files/folder.h
@@ -15,7 +15,7 @@
 enum class Taken {
   swapped,  // it is current now
   same,     // it was already
-  older,    // a newer one, or one of a higher epoch, is current: refused
+  older,    // refused: something newer was taken, or of a higher epoch, or of this epoch by another process
 };
 
 class Folder {
@@ -31,10 +31,19 @@
   void roll_back(std::uint64_t version);
   // The newest generation of ours whose manifest and files are whole; empty if there is none.
   std::optional<Generation> current() const;
+  // What was ever the newest, also after a way back; its owner is empty if its files are damaged.
+  struct Newest {
+    Stamp stamp;
+    std::string owner;
+  };
+  std::optional<Newest> newest_owned() const;
   // All that are kept, oldest first.
   std::vector<Stamp> kept() const;
   // What the reader says that it goes by (the file `applied`, written by the reader: EPOCH VERSION).
   std::optional<Stamp> applied() const;
+  // Leaves a sign of life for others that look at the folder, and what changes with each of them.
+  void touch();
+  std::int64_t touched() const;
   const std::filesystem::path& path() const { return path_; }
 
  private:
--- a/src/files/generation.cpp
+++ b/src/files/generation.cpp
@@ -18,9 +18,9 @@
 
 json body_of(const Generation& generation) {
   return {{"epoch", generation.stamp.epoch}, {"version", generation.stamp.version},
-          {"lines", generation.lines},       {"lease_ms", generation.lease_ms},
-          {"names", generation.names},       {"out", generation.out},
-          {"files", generation.files}};
+          {"owner", generation.owner},       {"lines", generation.lines},
+          {"lease_ms", generation.lease_ms}, {"names", generation.names},
+          {"out", generation.out},           {"files", generation.files}};
 }
 
 std::string checksum_of(const json& body) {
@@ -72,6 +72,7 @@
   if (!body.is_object()) throw net::Error("the generation is truncated, or no JSON object");
   Generation generation;
   generation.stamp = {count(body, "epoch"), count(body, "version")};
+  generation.owner = take<std::string>(body, "owner");
   generation.lines = count(body, "lines");
   generation.lease_ms = count(body, "lease_ms");
   generation.names = take<std::vector<std::string>>(body, "names");
--- a/src/files/generation.h
+++ b/src/files/generation.h
@@ -3,7 +3,9 @@
 //
 //   FOLDER/current -> gen-EPOCH-VERSION     swapped by one rename
 //   FOLDER/gen-EPOCH-VERSION/manifest.json, and the files it names
-//   FOLDER/out                              who must stay out, whatever generation is current
+//   FOLDER/newest                           after a way back: what was ever the newest
+//   FOLDER/applied                          what the reader goes by, in its own words
+//   FOLDER/spoken                           touched by whoever may order, while it lives
 #pragma once
 
 #include <cstdint>
@@ -22,6 +24,7 @@
 
 struct Generation {
   Stamp stamp;
+  std::string owner;  // the process that ordered it; of one epoch only one can
   std::size_t lines = 0;
   std::uint64_t lease_ms = 0;      // without a sign of life after which the tables are stale
   std::vector<std::string> names;  // replicas that its tables send to
@@ -30,7 +33,7 @@
       files;  // text by name: letters, digits, '-', '_', and one of .json or .conf
 };
 
-// With a checksum (XXH3, 64 bits) over stamp, names and files.
+// With a checksum (XXH3, 64 bits) over all the rest.
 std::string write_generation(const Generation& generation);
 // Throws net::Error with one line that names what does not fit: truncated, altered, oversized, or a name that
 // climbs out of the folder.
--- a/src/files/pusher.cpp
+++ b/src/files/pusher.cpp
@@ -10,11 +10,17 @@
 
 constexpr Nanos kLongest = 500ms;  // between looks, whatever is due
 
+book::Met met(const State& state) {
+  return {state.any, state.newest.stamp.epoch, book::VersionNumber{state.newest.stamp.version},
+          state.newest.owner, state.stale};
+}
+
 }  // namespace
 
-Generation generation_of(const config::Config& config, const front::Push& push, std::uint64_t epoch) {
+Generation generation_of(const config::Config& config, const front::Push& push) {
   Generation generation;
-  generation.stamp = {epoch, static_cast<std::uint64_t>(push.holding->since)};
+  generation.owner = push.owner;
+  generation.stamp = {push.epoch, static_cast<std::uint64_t>(push.holding->since)};
   generation.lease_ms = static_cast<std::uint64_t>(config.files.lease / 1ms);
   generation.out = push.out;
   std::set<std::string> names;
@@ -40,8 +46,7 @@
   return generation;
 }
 
-Pusher::Pusher(const config::Config& config, front::PushCore& core, std::uint64_t epoch)
-    : config_(config), core_(core), epoch_(epoch) {
+Pusher::Pusher(const config::Config& config, front::PushCore& core) : config_(config), core_(core) {
   bool any = false;
   for (const auto& proxy : config.proxies.known) {
     any = any || proxy.is_pushed_to();
@@ -91,23 +96,22 @@
 }
 
 void Pusher::carry(const front::Push& push) {
-  const auto& proxy = config_.proxies.known[static_cast<std::size_t>(push.proxy)];
   const auto until = net::Steady::now() + config_.files.patience;
   try {
     if (!push.holding) {
-      const auto state = state_of(proxy, until);
-      if (state.stored.epoch > epoch_) {
-        core_.push_failed(push.proxy, "it follows a governor of a higher epoch");
-      } else {
-        core_.push_alive(push.proxy, !state.any);
-      }
+      core_.push_met(push.proxy, met(state_of(push, until)));
     } else {
-      const auto delivery = deliver(proxy, generation_of(config_, push, epoch_), until);
-      if (delivery == Delivery::taken) {
-        core_.push_taken(push.proxy, push.holding->since);
-      } else {
-        core_.push_failed(push.proxy, delivery == Delivery::older ? "it holds something newer"
-                                                                  : "its reader has not confirmed");
+      const auto [delivery, state] = deliver(push, until);
+      switch (delivery) {
+        case Delivery::taken:
+          core_.push_taken(push.proxy, push.holding->since);
+          break;
+        case Delivery::unconfirmed:
+          core_.push_failed(push.proxy, "its reader has not confirmed");
+          break;
+        case Delivery::older:
+          core_.push_refused(push.proxy, met(state));
+          break;
       }
     }
   } catch (const std::exception& error) {
@@ -119,30 +123,43 @@
   changed_.notify_one();
 }
 
-State Pusher::state_of(const config::ProxyEntry& proxy, net::Deadline until) {
+State Pusher::state_of(const front::Push& push, net::Deadline until) {
+  const auto& proxy = config_.proxies.known[static_cast<std::size_t>(push.proxy)];
   if (!proxy.folder.empty()) {
-    shelves_.at(proxy.folder)->renew();
-    return shelves_.at(proxy.folder)->state();
+    auto& shelf = *shelves_.at(proxy.folder);
+    shelf.renew(push.epoch, push.owner);
+    return shelf.state();
   }
   http::Request request;
-  request.target = "/state";
+  request.target = "/state?epoch=" + std::to_string(push.epoch) + "&owner=" + push.owner;
   const auto answer = http::fetch(*proxy.receiver, request, until);
   if (answer.status != 200)
     throw net::Error("its receiver answers with status " + std::to_string(answer.status));
   return read_state(answer.body);
 }
 
-Delivery Pusher::deliver(const config::ProxyEntry& proxy, const Generation& generation, net::Deadline until) {
-  if (!proxy.folder.empty()) return shelves_.at(proxy.folder)->put(generation, until);
+std::pair<Delivery, State> Pusher::deliver(const front::Push& push, net::Deadline until) {
+  const auto& proxy = config_.proxies.known[static_cast<std::size_t>(push.proxy)];
+  const auto generation = generation_of(config_, push);
+  if (!proxy.folder.empty()) {
+    auto& shelf = *shelves_.at(proxy.folder);
+    const auto delivery = shelf.put(generation, until);
+    return {delivery, delivery == Delivery::older ? shelf.state() : State{}};
+  }
   http::Request request;
   request.method = "PUT";
   request.target = "/generation";
   request.content_type = "application/json";
   request.body = write_generation(generation);
   const auto answer = http::fetch(*proxy.receiver, request, until);
-  if (answer.status == 200) return Delivery::taken;
-  if (answer.status == 202) return Delivery::unconfirmed;
-  if (answer.status == 409) return Delivery::older;
+  if (answer.status == 200) {
+    // An answer about another push, late or repeated on the way, confirms nothing of this one.
+    if (read_state(answer.body).newest.stamp != generation.stamp)
+      throw net::Error("its receiver speaks of another version");
+    return {Delivery::taken, {}};
+  }
+  if (answer.status == 202) return {Delivery::unconfirmed, {}};
+  if (answer.status == 409) return {Delivery::older, read_state(answer.body)};
   throw net::Error("its receiver answers with status " + std::to_string(answer.status) + ": " + answer.body);
 }
 
--- a/src/files/pusher.h
+++ b/src/files/pusher.h
@@ -14,12 +14,11 @@
 namespace ospreypost::files {
 
 // The generation that carries a push.
-Generation generation_of(const config::Config& config, const front::Push& push, std::uint64_t epoch);
+Generation generation_of(const config::Config& config, const front::Push& push);
 
 class Pusher : public front::PushFront {
  public:
-  // `epoch`: above that of any governor before this one. A receiver that has seen a higher one refuses us.
-  Pusher(const config::Config& config, front::PushCore& core, std::uint64_t epoch);
+  Pusher(const config::Config& config, front::PushCore& core);
   ~Pusher() override { stop(); }
   void something_ordered() override;
   void stop();
@@ -27,12 +26,11 @@
  private:
   void schedule();
   void carry(const front::Push& push);
-  State state_of(const config::ProxyEntry& proxy, net::Deadline until);
-  Delivery deliver(const config::ProxyEntry& proxy, const Generation& generation, net::Deadline until);
+  State state_of(const front::Push& push, net::Deadline until);
+  std::pair<Delivery, State> deliver(const front::Push& push, net::Deadline until);
 
   const config::Config& config_;
   front::PushCore& core_;
-  const std::uint64_t epoch_;
   std::map<std::string, std::unique_ptr<Shelf>> shelves_;  // by folder, of this host
   std::mutex lock_;
   std::condition_variable changed_;
--- a/src/files/receiver.cpp
+++ b/src/files/receiver.cpp
@@ -20,6 +20,18 @@
   return limits;
 }
 
+// "?epoch=E&owner=O"
+bool read_speaker(std::string_view query, std::uint64_t& epoch, std::string& owner) {
+  constexpr std::string_view head = "?epoch=", then = "&owner=";
+  if (!query.starts_with(head)) return false;
+  query.remove_prefix(head.size());
+  const auto [end, error] = std::from_chars(query.data(), query.data() + query.size(), epoch);
+  query.remove_prefix(static_cast<std::size_t>(end - query.data()));
+  if (error != std::errc{} || !query.starts_with(then)) return false;
+  owner = query.substr(then.size());
+  return !owner.empty();
+}
+
 http::Response said(unsigned status, const std::string& what) {
   return {status, "text/plain", what + "\n", std::nullopt, true};
 }
@@ -32,6 +44,9 @@
   return json({{"any", state.any},
                {"epoch", state.stored.epoch},
                {"version", state.stored.version},
+               {"newest_epoch", state.newest.stamp.epoch},
+               {"newest_version", state.newest.stamp.version},
+               {"owner", state.newest.owner},
                {"applied_epoch", state.applied.epoch},
                {"applied_version", state.applied.version},
                {"stale", state.stale},
@@ -45,6 +60,9 @@
     State state;
     state.any = body.at("any").get<bool>();
     state.stored = {body.at("epoch").get<std::uint64_t>(), body.at("version").get<std::uint64_t>()};
+    state.newest = {
+        {body.at("newest_epoch").get<std::uint64_t>(), body.at("newest_version").get<std::uint64_t>()},
+        body.at("owner").get<std::string>()};
     state.applied = {body.at("applied_epoch").get<std::uint64_t>(),
                      body.at("applied_version").get<std::uint64_t>()};
     state.stale = body.at("stale").get<bool>();
@@ -58,11 +76,24 @@
 
 Shelf::Shelf(std::string folder, std::size_t keep, bool reader_confirms,
              std::function<void(const char*)> step)
-    : folder_(std::move(folder), keep, std::move(step)), reader_confirms_(reader_confirms) {}
+    : folder_(std::move(folder), keep, std::move(step)), reader_confirms_(reader_confirms) {
+  try {
+    if (const auto current = folder_.current()) lease_ = std::chrono::milliseconds(current->lease_ms);
+  } catch (const net::Error&) {
+    // Damaged: there is no lease to keep.
+  }
+}
 
-void Shelf::renew() {
+void Shelf::renew(std::uint64_t epoch, const std::string& owner) {
   const std::lock_guard held(lock_);
-  spoke_ = net::Steady::now();
+  const auto newest = folder_.newest_owned();
+  if (newest && newest->stamp.epoch == epoch && newest->owner == owner) folder_.touch();
+}
+
+bool Shelf::is_stale() {
+  const auto touched = folder_.touched();
+  if (touched != touched_) touched_ = touched, spoke_ = net::Steady::now();
+  return lease_ > 0ms && net::Steady::now() > spoke_ + lease_;
 }
 
 bool Shelf::confirmed(const Stamp& stamp) const {
@@ -73,7 +104,7 @@
   {
     const std::lock_guard held(lock_);
     if (folder_.take(generation) == Taken::older) return Delivery::older;
-    spoke_ = net::Steady::now();
+    folder_.touch();
     lease_ = std::chrono::milliseconds(generation.lease_ms);
   }
   // The reader looks by itself; the files are whole whenever it does.
@@ -84,7 +115,7 @@
   return Delivery::taken;
 }
 
-State Shelf::state() const {
+State Shelf::state() {
   const std::lock_guard held(lock_);
   State state;
   try {
@@ -93,7 +124,8 @@
     state.any = true;  // something lies there, and may be gone by
   }
   state.applied = folder_.applied().value_or(Stamp{});
-  state.stale = lease_ > 0ms && net::Steady::now() > spoke_ + lease_;
+  if (const auto newest = folder_.newest_owned()) state.newest = *newest, state.any = true;
+  state.stale = is_stale();
   state.kept = folder_.kept();
   return state;
 }
@@ -112,8 +144,14 @@
           [this](const http::Request& request) { return answer(request); }, [](const std::string&) {}) {}
 
 http::Response Receiver::answer(const http::Request& request) {
-  if (request.target == "/state" && request.method == "GET") {
-    shelf_.renew();
+  constexpr std::string_view look = "/state";
+  if (request.target.starts_with(look) && request.method == "GET") {
+    std::uint64_t epoch = 0;
+    std::string owner;
+    if (request.target.size() > look.size() &&
+        !read_speaker(request.target.substr(look.size()), epoch, owner))
+      return said(400, "no epoch and owner");
+    if (!owner.empty()) shelf_.renew(epoch, owner);
     return {200, "application/json", write_state(shelf_.state()), std::nullopt, true};
   }
   constexpr std::string_view rollback = "/rollback?version=";
--- a/src/files/receiver.h
+++ b/src/files/receiver.h
@@ -1,12 +1,12 @@
 // What stands before a proxy's folder: takes generations, verifies, stores and swaps them, and answers when
 // the reader goes by them. Over HTTP:
 //
-//   PUT  /generation   200 taken; 202 stored, but its reader has not confirmed; 400 it does not fit; 409 an
-//   older
-//                      one; 507 it cannot be stored
-//   GET  /state        {"epoch", "version", "applied_epoch", "applied_version", "stale", "kept": [[epoch,
-//   version]]} POST /rollback?version=N   200; 404 not kept; 409 it would bring back a replica that must stay
-//   out
+//   PUT  /generation             200 taken; 202 stored, but its reader has not confirmed; 400 it does not
+//   fit;
+//                                409 something newer was taken; 507 it cannot be stored
+//   GET  /state                  what is stored, gone by and kept, in JSON
+//   GET  /state?epoch=E&owner=O  the same; from whom the newest is, it is a sign of life
+//   POST /rollback?version=N     200; 409 it is not kept, or would bring back a replica that must stay out
 #pragma once
 
 #include <atomic>
@@ -30,8 +30,9 @@
 // What a folder and its reader are at; as /state says it.
 struct State {
   Stamp stored, applied;
-  bool any = false;  // something is stored
-  bool stale = false;
+  Folder::Newest newest;  // as `stored`, but after a way back
+  bool any = false;       // something is stored
+  bool stale = false;     // nobody who may order has spoken within the lease
   std::vector<Stamp> kept;
 };
 std::string write_state(const State& state);
@@ -48,19 +49,23 @@
         std::function<void(const char*)> step = {});
   // Waits for the reader until the deadline. Throws net::Error if it cannot be stored.
   Delivery put(const Generation& generation, net::Deadline until);
-  // Somebody who may order spoke: the lease runs anew.
-  void renew();
-  State state() const;
+  // A sign of life: the lease runs anew if the newest is of that epoch and owner.
+  void renew(std::uint64_t epoch, const std::string& owner);
+  State state();
   // Throws net::Error saying why not.
   void roll_back(std::uint64_t version);
 
  private:
   bool confirmed(const Stamp& stamp) const;
+  bool is_stale();
 
   Folder folder_;
   const bool reader_confirms_;
-  mutable std::mutex lock_;
+  std::mutex lock_;
+  // When a change of the sign was seen last: no wall clock, which may jump, and no matter which process left
+  // it.
   net::Steady::time_point spoke_ = net::Steady::now();
+  std::int64_t touched_ = 0;
   std::chrono::milliseconds lease_{0};
 };
 
--- a/src/front/core.h
+++ b/src/front/core.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "book/claims.h"
 #include "book/version.h"
 #include "lifetime/clients.h"
 #include "net/socket.h"
@@ -68,6 +69,8 @@
   std::shared_ptr<const book::Holding> holding;  // null: only a sign of life is asked for
   std::shared_ptr<const Directory> directory;
   std::vector<std::string> out;  // replicas that nobody may send to now, by name
+  std::uint64_t epoch = 0;       // that it is ordered by, and by which process
+  std::string owner;
 };
 
 // Told when there may be something to push; called under locks: take note and return.
@@ -93,16 +96,18 @@
 class PushCore {
  public:
   virtual ~PushCore() = default;
-  // The next push that is due, if any; it is under way until one of the three below ends it.
+  // The next push that is due, if any; it is under way until one of the four below ends it.
   virtual std::optional<Push> next_push() = 0;
   // How long until another may be due with nothing else happening; empty: never.
   virtual std::optional<Nanos> push_due_in() = 0;
   // It goes by that version now.
   virtual void push_taken(ProxyId proxy, book::VersionNumber since) = 0;
-  // Refused, lost or not in time.
+  // Lost, not stored, or not in time.
   virtual void push_failed(ProxyId proxy, const std::string& why) = 0;
-  // It answers; `fresh`: it goes by no table yet.
-  virtual void push_alive(ProxyId proxy, bool fresh) = 0;
+  // Refused for what lies there.
+  virtual void push_refused(ProxyId proxy, const book::Met& met) = 0;
+  // It answers, and that lies there.
+  virtual void push_met(ProxyId proxy, const book::Met& met) = 0;
 };
 
 }  // namespace ospreypost::front
--- a/src/governor/live_governor.cpp
+++ b/src/governor/live_governor.cpp
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-LiveGovernor::LiveGovernor(const config::Config& config, World& world, Clock clock)
+LiveGovernor::LiveGovernor(const config::Config& config, World& world, Clock clock, book::Claims claims)
     : config_(config),
       world_(world),
       clock_(std::move(clock)),
@@ -32,7 +32,8 @@
       // push that just fails.
       pushes_({config.settings.message_head_lines, config.settings.channel_lines_per_second,
                config.settings.messages_allowed, config.settings.messages_window,
-               config.settings.drain_grace - 2 * kSweep - config.roll.every, config.files.renew}) {
+               config.settings.drain_grace - 2 * kSweep - config.roll.every, config.files.renew}),
+      claims_(std::move(claims)) {
   for (std::size_t p = 0; p < config.proxies.known.size(); ++p) {
     const ProxyId id{static_cast<std::uint16_t>(p)};
     config.proxies.known[p].is_pushed_to() ? pushes_.introduce(clock_(), id)
@@ -291,7 +292,11 @@
     offer = pushes_.next(clock_());
   }
   if (!offer) return std::nullopt;
-  front::Push push{offer->proxy, offer->holding, directory(), {}};
+  front::Push push{offer->proxy, offer->holding, directory(), {}, 0, claims_.owner()};
+  {
+    const std::lock_guard held(handouts_lock_);
+    push.epoch = claims_.epoch(offer->proxy);
+  }
   const std::lock_guard held(shared_lock_);
   push.out = out_;
   return push;
@@ -313,21 +318,53 @@
 void LiveGovernor::push_failed(ProxyId proxy, const std::string& why) {
   const std::lock_guard held(handouts_lock_);
   pushes_.failed(clock_(), proxy);
-  // Each fault once, not each try.
+  note_fault(proxy, why);
+}
+
+// Each fault once, not each try. With the handouts' lock held.
+void LiveGovernor::note_fault(ProxyId proxy, const std::string& why) {
   if (push_faults_[proxy] == why) return;
   push_faults_[proxy] = why;
   world_.log("push to " + entry_of(proxy).name + " failed: " + why, version());
 }
 
-void LiveGovernor::push_alive(ProxyId proxy, bool fresh) {
+void LiveGovernor::push_refused(ProxyId proxy, const book::Met& met) {
   {
     const std::lock_guard held(handouts_lock_);
     const auto now = clock_();
-    if (pushes_.held(proxy)) {
-      pushes_.taken(now, proxy, {});
-      return;
+    switch (claims_.met(proxy, met)) {
+      case book::Claims::Standing::ours:
+        pushes_.failed(now, proxy);
+        note_fault(proxy, "it holds something newer");
+        return;
+      case book::Claims::Standing::claimed:
+        pushes_.joined(now, proxy, !met.any);
+        break;
+      case book::Claims::Standing::theirs:
+        pushes_.refused(now, proxy);
+        note_fault(proxy, "it follows " + met.owner);
+        break;
+    }
+  }
+  settle(proxy);
+}
+
+void LiveGovernor::push_met(ProxyId proxy, const book::Met& met) {
+  {
+    const std::lock_guard held(handouts_lock_);
+    const auto now = clock_();
+    switch (claims_.met(proxy, met)) {
+      case book::Claims::Standing::ours:
+        if (!pushes_.met(now, proxy, met.any ? std::optional(met.version) : std::nullopt)) return;
+        break;
+      case book::Claims::Standing::claimed:
+        pushes_.joined(now, proxy, !met.any);
+        break;
+      case book::Claims::Standing::theirs:
+        pushes_.refused(now, proxy);
+        note_fault(proxy, "it follows " + met.owner);
+        break;
     }
-    pushes_.joined(now, proxy, fresh);
   }
   settle(proxy);
 }
--- a/src/governor/live_governor.h
+++ b/src/governor/live_governor.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "book/claims.h"
 #include "book/handouts.h"
 #include "book/order_book.h"
 #include "book/pushes.h"
@@ -48,7 +49,8 @@
  public:
   // The clock is monotonic and starts anywhere.
   using Clock = std::function<Nanos()>;
-  LiveGovernor(const config::Config& config, World& world, Clock clock);
+  LiveGovernor(const config::Config& config, World& world, Clock clock,
+               book::Claims claims = {1, "governor"});
   ~LiveGovernor() override;
   void stop();
 
@@ -68,7 +70,8 @@
   std::optional<Nanos> push_due_in() override;
   void push_taken(ProxyId proxy, book::VersionNumber since) override;
   void push_failed(ProxyId proxy, const std::string& why) override;
-  void push_alive(ProxyId proxy, bool fresh) override;
+  void push_refused(ProxyId proxy, const book::Met& met) override;
+  void push_met(ProxyId proxy, const book::Met& met) override;
   // Told of orders from then on; null: nobody. It must outlive that.
   void tell_orders_to(front::PushFront* pusher) { pusher_ = pusher; }
   std::shared_ptr<const front::Directory> directory() const override;
@@ -102,6 +105,7 @@
   }
   void note_places(const list::Roll::Taken& taken);
   void note_out();
+  void note_fault(ProxyId proxy, const std::string& why);
   void keep_time();
   std::vector<front::Entry> entries_for(std::optional<ZoneId> zone, std::optional<ProxyId> but) const;
 
@@ -127,6 +131,7 @@
   mutable std::mutex handouts_lock_;
   book::Handouts handouts_;
   book::Pushes pushes_;
+  book::Claims claims_;
   std::map<ProxyId, std::string> push_faults_;
   std::atomic<front::PushFront*> pusher_ = nullptr;
   mutable std::mutex shared_lock_;
--- a/src/governor/service.cpp
+++ b/src/governor/service.cpp
@@ -23,7 +23,10 @@
 
 Service::Service(const config::Config& config, std::shared_ptr<spdlog::logger> log)
     : config_(config), log_(std::move(log)) {
-  live_ = std::make_unique<LiveGovernor>(config_, static_cast<World&>(*this), now);
+  // No other process has this name and moment; where the clock went back, claims go above what they meet.
+  const book::Claims claims(static_cast<std::uint64_t>(wall_now() / 1s),
+                            config_.name + "." + std::to_string(wall_now().count()));
+  live_ = std::make_unique<LiveGovernor>(config_, static_cast<World&>(*this), now, claims);
   intake_ = std::make_unique<intake::Intake>(config_, static_cast<intake::Receiver&>(*this));
   responder_ = std::make_unique<dns::Responder>(config_, *live_);
   probers_ = std::make_unique<net::Crew>("prober", kProbers, kProbesWaiting);
@@ -34,10 +37,7 @@
   http_ = std::make_unique<http::Server>(
       "http", config_.reports.listen, limits, kHttpConnections,
       [this](const http::Request& request) { return answer(request); }, complain);
-  // Seconds since 1970: above that of any governor that started before, as long as the wall clock does not go
-  // back.
-  const auto epoch = static_cast<std::uint64_t>(wall_now() / 1s);
-  pusher_ = std::make_unique<files::Pusher>(config_, *live_, epoch);
+  pusher_ = std::make_unique<files::Pusher>(config_, *live_);
   live_->tell_orders_to(pusher_.get());
   roll_ = std::make_unique<sources::RollFile>(config_, static_cast<sources::ListSink&>(*this), now);
 }
--- a/src/judge/judge.cpp
+++ b/src/judge/judge.cpp
@@ -68,6 +68,16 @@
                        [&](const Interval& cut) { return cut.from < to && from < cut.to; });
   }
 
+  // How much of a span the proxy was not cut off.
+  Time reachable(const std::string& proxy, Time from, Time to) const {
+    Time span = to - from;
+    const auto known = cut_off.find(proxy);
+    if (known == cut_off.end()) return span;
+    for (const auto& cut : known->second)
+      span -= std::max<Time>(Time{}, std::min(cut.to, to) - std::max(cut.from, from));
+    return span;
+  }
+
   std::vector<Interval> governed;
   std::map<std::string, std::vector<Listed>> lists;
   std::map<std::string, std::vector<Started>> lives;
@@ -147,7 +157,8 @@
           std::to_string(twice) + " of " + std::to_string(effects.size()) + " ran more than once"};
 }
 
-// Rule 3. From when a governor knew that a replica drains or is gone, until it is listed ready again.
+// Rule 3. From when a governor knew that a replica drains or is gone, until it is listed ready again; only
+// the time counts in which it could reach the proxy.
 Rule drains_kept(const Trace& trace, const Facts& facts, const Limits& limits) {
   Time worst{};
   std::string where;
@@ -167,8 +178,9 @@
       const auto governed = facts.governed_since(sent.at);
       if (joined == first_answer.end() || !governed) continue;
       const Time from = std::max({drain.from, *governed, joined->second});
-      if (facts.is_cut(sent.proxy, from, sent.at)) continue;
-      if (sent.at - from > worst) worst = sent.at - from, where = sent.proxy + " to " + sent.replica;
+      if (facts.is_cut(sent.proxy, sent.at, sent.at + Time{1})) continue;
+      const Time late = facts.reachable(sent.proxy, from, sent.at);
+      if (late > worst) worst = late, where = sent.proxy + " to " + sent.replica;
     }
   }
   return {"drains kept", worst <= limits.drain_grace,
--- a/src/program.cmake
+++ b/src/program.cmake
@@ -23,7 +23,7 @@
   target_link_libraries(ospreypost_${name} PUBLIC ${PACKAGE_NEEDS})
 endfunction()
 
-ospreypost_package(book order_book.cpp handouts.cpp pushes.cpp NEEDS ospreypost_rules)
+ospreypost_package(book order_book.cpp handouts.cpp pushes.cpp claims.cpp NEEDS ospreypost_rules)
 ospreypost_package(lifetime clients.cpp NEEDS ospreypost_rules)
 ospreypost_package(net socket.cpp threads.cpp NEEDS Threads::Threads)
 ospreypost_package(http http.cpp NEEDS ospreypost_net)
@@ -41,7 +41,7 @@
   NEEDS ospreypost_book ospreypost_lifetime ospreypost_list ospreypost_sources ospreypost_intake ospreypost_dns
         ospreypost_files ospreypost_http spdlog::spdlog)
 ospreypost_package(judge judge.cpp NEEDS Threads::Threads)
-ospreypost_package(standin replica.cpp stub.cpp proxy.cpp resolver.cpp terminal.cpp
+ospreypost_package(standin replica.cpp stub.cpp proxy.cpp tables.cpp courier.cpp resolver.cpp terminal.cpp
   NEEDS ospreypost_judge ospreypost_http ospreypost_otlp ospreypost_dns resolv)
 ospreypost_package(day script.cpp child.cpp stage.cpp run.cpp NEEDS ospreypost_standin ospreypost_config)
 ospreypost_package(cli logging.cpp serve.cpp show.cpp receive.cpp day.cpp NEEDS ospreypost_governor ospreypost_day CLI11::CLI11)
--- a/src/standin/proxy.cpp
+++ b/src/standin/proxy.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
+#include "standin/tables.h"
+
 namespace ospreypost::standin {
 namespace {
 
@@ -26,32 +28,6 @@
   return net::Deadline(std::chrono::duration_cast<net::Steady::duration>(at));
 }
 
-// As Envoy's documentation of file-based endpoint discovery gives it.
-Resolved read_table(const std::string& path) {
-  std::ifstream file(path);
-  auto response = nlohmann::json::parse(file, nullptr, false);
-  Resolved table;
-  if (!response.is_object()) return table;
-  table.kind = Resolved::Kind::answer;
-  table.replicas = true;
-  table.version = std::strtoull(response.value("version_info", "0").c_str(), nullptr, 10);
-  for (auto& resource : response["resources"]) {
-    for (auto& drop : resource["policy"]["drop_overloads"])
-      table.level = 1 - drop["drop_percentage"]["numerator"].get<double>() / 1e6;
-    for (auto& locality : resource["endpoints"]) {
-      for (auto& line : locality["lb_endpoints"]) {
-        auto& address = line["endpoint"]["address"]["socket_address"];
-        table.targets.push_back(
-            {line["endpoint"]["hostname"].get<std::string>(),
-             {address["address"].get<std::string>(), address["port_value"].get<std::uint16_t>()},
-             0,
-             line["load_balancing_weight"].get<std::uint16_t>()});
-      }
-    }
-  }
-  return table;
-}
-
 }  // namespace
 
 Proxy::Proxy(const ProxyShape& shape, judge::Trace& trace, std::uint32_t seed)
@@ -77,6 +53,11 @@
   reporting_ = net::Thread("proxy-report", [this] { keep_reporting(); });
 }
 
+void Proxy::be_deaf(bool deaf) {
+  const std::lock_guard held(lock_);
+  deaf_ = deaf;
+}
+
 void Proxy::fix(const Resolved& table) {
   const std::lock_guard held(lock_);
   for (auto& own : tables_) own = {table, std::chrono::nanoseconds::max(), true};
@@ -165,12 +146,12 @@
   while (!changed_.wait_for(held, kReadEvery, [this] { return stopping_; })) {
     std::error_code error;
     const auto current = std::filesystem::read_symlink(folder + "/current", error).string();
-    if (error || current == last) continue;
+    if (error || current == last || deaf_) continue;
     held.unlock();
     std::vector<Resolved> tables;
-    for (const auto& cls : shape_.classes)
-      tables.push_back(read_table(folder + "/" + current + "/" + cls.name + ".json"));
+    for (const auto& cls : shape_.classes) tables.push_back(read_table(folder + "/" + current, cls.name));
     held.lock();
+    if (deaf_) continue;
     for (std::size_t n = 0; n < tables.size(); ++n) put(n, std::move(tables[n]));
     last = current;
     unsigned long long epoch = 0, version = 0;
--- a/src/standin/proxy.h
+++ b/src/standin/proxy.h
@@ -54,6 +54,8 @@
   Proxy(const ProxyShape& shape, judge::Trace& trace, std::uint32_t seed);
   ~Proxy() { stop(); }
   void reach(const Reach& reach);
+  // Reads no file anew, for as long as it is.
+  void be_deaf(bool deaf);
   // Goes by one table from now on and asks nobody: a proxy without a governor.
   void fix(const Resolved& table);
   // An operation of its own client: taken at once by a worker, or refused if none is free.
@@ -98,7 +100,7 @@
   judge::Trace& trace_;
   std::mutex lock_;
   std::condition_variable changed_;
-  bool stopping_ = false;
+  bool stopping_ = false, deaf_ = false;
   Reach reach_;
   std::mt19937 chance_;
   std::vector<Table> tables_;                                   // by class
--- a/tests/program/files_test.cpp
+++ b/tests/program/files_test.cpp
@@ -1,17 +1,16 @@
-// Generations in folders: whole at any moment, whatever ends when; and pushes that are pressed on with.
+// Generations in folders: whole at any moment, whatever ends when; who may order, and what a reader makes of
+// it.
 #include <gtest/gtest.h>
-#include <rapidcheck.h>
-#include <rapidcheck/gtest.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <deque>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <thread>
 
-#include "book/pushes.h"
 #include "files/receiver.h"
 #include "files/render.h"
+#include "standin/tables.h"
 
 namespace ospreypost::files {
 namespace {
@@ -35,6 +34,7 @@
                       std::uint64_t epoch = 1) {
   Generation made;
   made.stamp = {epoch, version};
+  made.owner = "g" + std::to_string(epoch);
   made.lines = names.size();
   made.names = std::move(names);
   made.files["sign-job.json"] = std::string(1500, static_cast<char>('a' + version % 20));
@@ -135,6 +135,19 @@
   EXPECT_EQ(folder.current()->stamp, (Stamp{3, 1}));
 }
 
+TEST(Folder, OfOneEpochOnlyOneProcessOrders) {
+  Place place;
+  Folder folder(place.path, 3);
+  folder.take(generation(5));
+  auto other = generation(6);
+  other.owner = "another";
+  EXPECT_EQ(folder.take(other), Taken::older);
+  EXPECT_EQ(folder.newest_owned()->owner, "g1");
+  other.stamp.epoch = 2;
+  EXPECT_EQ(folder.take(other), Taken::swapped);
+  EXPECT_EQ(folder.newest_owned()->owner, "another");
+}
+
 TEST(Folder, AWayBackBringsBackNobodyWhoIsOut) {
   Place place;
   Folder folder(place.path, 5);
@@ -162,31 +175,66 @@
           {"u-3", "east", {"127.0.0.3", 9003}, 1e-9}};
 }
 
-TEST(Render, EnvoysFormHoldsEveryLine) {
-  const auto response = nlohmann::json::parse(render_envoy("sign-job", endpoints(), {12, 0.75, "none"}));
-  EXPECT_EQ(response["version_info"], "12");
+std::map<std::string, int> weights_in(const standin::Resolved& table) {
+  std::map<std::string, int> weights;
+  for (const auto& target : table.targets) weights[target.name + "@" + target.address.text()] = target.weight;
+  return weights;
+}
+
+TEST(Render, BothFormsHoldEveryLineAndTheTerms) {
+  const std::map<std::string, int> expected{
+      {"u-1@127.0.0.1:9001", 1000}, {"u-2@[::1]:9002", 200}, {"u-3@127.0.0.3:9003", 1}};
+  const Terms terms{12, 0.75, "none"};
+  for (const auto& table : {standin::read_envoy(render_envoy("sign-job", endpoints(), terms)),
+                            standin::read_upstream(render_upstream("sign-job", endpoints(), terms))}) {
+    EXPECT_EQ(table.kind, standin::Resolved::Kind::answer);
+    EXPECT_EQ(weights_in(table), expected);
+    EXPECT_EQ(table.version, 12U);
+    EXPECT_DOUBLE_EQ(table.level, 0.75);
+  }
+  const auto response = nlohmann::json::parse(render_envoy("sign-job", endpoints(), terms));
   const auto& resource = response["resources"][0];
   EXPECT_EQ(resource["@type"], "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment");
-  EXPECT_EQ(resource["policy"]["drop_overloads"][0]["drop_percentage"]["numerator"], 250000);
-  std::map<std::string, int> weights;
   for (const auto& locality : resource["endpoints"]) {
     int sum = 0;
-    for (const auto& line : locality["lb_endpoints"]) {
-      sum += line["load_balancing_weight"].get<int>();
-      weights[line["endpoint"]["hostname"]] = line["load_balancing_weight"];
-    }
+    for (const auto& line : locality["lb_endpoints"]) sum += line["load_balancing_weight"].get<int>();
     EXPECT_EQ(locality["load_balancing_weight"], sum);
   }
-  EXPECT_EQ(weights, (std::map<std::string, int>{{"u-1", 1000}, {"u-2", 200}, {"u-3", 1}}));
-  EXPECT_TRUE(nlohmann::json::parse(render_envoy("x", {}, {}))["resources"][0]["endpoints"].empty());
 }
 
-TEST(Render, AnUpstreamListIsNeverEmpty) {
-  EXPECT_EQ(render_upstream("sign-job", endpoints(), {12, 0.75, "none"}),
-            "# version=12 level=0.7500 retry=none\nupstream sign-job {\n    server 127.0.0.1:9001 "
-            "weight=1000;  # u-1\n"
-            "    server [::1]:9002 weight=200;  # u-2\n    server 127.0.0.3:9003 weight=1;  # u-3\n}\n");
-  EXPECT_NE(render_upstream("x", {}, {}).find(" down;"), std::string::npos);
+TEST(Render, NobodyIsATableToo) {
+  EXPECT_TRUE(standin::read_envoy(render_envoy("x", {}, {})).targets.empty());
+  const auto upstream = render_upstream("x", {}, {});
+  EXPECT_EQ(standin::read_upstream(upstream).kind, standin::Resolved::Kind::answer);
+  EXPECT_TRUE(standin::read_upstream(upstream).targets.empty());
+  // nginx takes no upstream without a server.
+  EXPECT_NE(upstream.find(" down;"), std::string::npos);
+}
+
+// --- The lease
+
+TEST(Shelf, OnlyWhoOrdersKeepsTheLease) {
+  Place place;
+  Shelf shelf(place.path.string(), 3, false);
+  auto leased = generation(1);
+  leased.lease_ms = 60;
+  shelf.put(leased, net::Steady::now());
+  EXPECT_FALSE(shelf.state().stale);
+  const auto stale_after = [&](auto speak) {
+    const auto end = net::Steady::now() + 150ms;
+    while (net::Steady::now() < end) {
+      speak();
+      std::this_thread::sleep_for(5ms);
+      if (shelf.state().stale) return true;
+    }
+    return false;
+  };
+  EXPECT_TRUE(stale_after([&] { shelf.renew(1, "another"); }));
+  // Through a shelf of another process, too.
+  Shelf other(place.path.string(), 3, false);
+  EXPECT_FALSE(other.state().stale);
+  other.renew(1, "g1");
+  EXPECT_FALSE(shelf.state().stale);
 }
 
 // --- The receiver
@@ -204,6 +252,7 @@
   EXPECT_EQ(send("PUT", "/generation", write_generation(generation(1))).status, 200U);
   EXPECT_EQ(send("PUT", "/generation", "{").status, 400U);
   EXPECT_EQ(send("PUT", "/generation", write_generation(generation(9, {"a"}, 0))).status, 409U);
+  EXPECT_EQ(send("GET", "/state?epoch=x", "").status, 400U);
   EXPECT_EQ(send("POST", "/rollback?version=x", "").status, 400U);
   EXPECT_EQ(send("POST", "/rollback?version=7", "").status, 409U);
   const auto state = read_state(send("GET", "/state", "").body);
@@ -216,123 +265,3 @@
 
 }  // namespace
 }  // namespace ospreypost::files
-
-namespace ospreypost::book {
-namespace {
-
-using namespace std::chrono_literals;
-
-constexpr PushLimits kLimits{2, 1000, 12, 10s, 2500ms, 1s};
-
-std::shared_ptr<const Holding> holding_of(std::uint64_t since,
-                                          std::initializer_list<std::uint32_t> replicas) {
-  auto view = std::make_shared<View>();
-  for (const auto id : replicas) view->lines.push_back({ReplicaId{id}, 1.0});
-  auto holding = std::make_shared<Holding>();
-  holding->since = VersionNumber{since};
-  holding->views = {view};
-  return holding;
-}
-
-struct PushScene {
-  Pushes pushes{kLimits};
-  ProxyId proxy{1};
-  PushScene() {
-    pushes.introduce(0s, proxy);
-    EXPECT_FALSE(pushes.next(0s)->holding);
-    pushes.joined(0s, proxy, true);
-    pushes.ordered(0s, proxy, holding_of(1, {1, 2}), 3);
-    EXPECT_EQ(pushes.next(0s)->holding->since, VersionNumber{1});
-    pushes.taken(10ms, proxy, VersionNumber{1});
-  }
-};
-
-TEST(Pushes, WithdrawalsGoFirstAndArePressedOnWith) {
-  PushScene scene;
-  auto& pushes = scene.pushes;
-  pushes.introduce(0s, ProxyId{0});
-  pushes.joined(0s, ProxyId{0}, true);
-  pushes.ordered(1s, ProxyId{0}, holding_of(2, {1, 2}), 3);
-  pushes.ordered(1s, scene.proxy, holding_of(2, {1}), 1);
-  EXPECT_EQ(pushes.next(1s)->proxy, scene.proxy);
-  pushes.failed(1100ms, scene.proxy);
-  EXPECT_EQ(pushes.next(1101ms)->proxy, ProxyId{0});
-  EXPECT_FALSE(pushes.next(1102ms));
-  EXPECT_EQ(pushes.next(1200ms)->proxy, scene.proxy);
-  // A confirmation of something older is none.
-  pushes.taken(1300ms, scene.proxy, VersionNumber{1});
-  EXPECT_EQ(pushes.next(1301ms)->holding->since, VersionNumber{2});
-  pushes.taken(1400ms, scene.proxy, VersionNumber{2});
-  EXPECT_TRUE(pushes.lost(3600ms).empty());
-}
-
-TEST(Pushes, WhoCannotConfirmAWithdrawalIsGivenUpOn) {
-  PushScene scene;
-  scene.pushes.ordered(1s, scene.proxy, holding_of(2, {1}), 1);
-  Nanos now = 1s;
-  for (; now < 3400ms; now += 20ms) {
-    if (scene.pushes.next(now)) scene.pushes.failed(now, scene.proxy);
-    EXPECT_TRUE(scene.pushes.lost(now).empty());
-  }
-  EXPECT_EQ(scene.pushes.lost(3600ms), std::vector{scene.proxy});
-  EXPECT_FALSE(scene.pushes.held(scene.proxy));
-  // It answers again, with an unknown table: the whole one must reach it in time as well.
-  scene.pushes.joined(5s, scene.proxy, false);
-  scene.pushes.ordered(5s, scene.proxy, holding_of(2, {1}), 3);
-  EXPECT_EQ(scene.pushes.lost(7600ms), std::vector{scene.proxy});
-}
-
-// A slow proxy holds up nobody; no window holds too many messages to any; what is confirmed last is what
-// stands.
-RC_GTEST_PROP(Pushes, ReachEverybodyWithinTheMessages, ()) {
-  constexpr std::uint16_t proxies = 4;
-  Pushes pushes(kLimits);
-  std::map<ProxyId, std::deque<std::pair<Nanos, std::uint64_t>>> messages;
-  std::map<ProxyId, std::shared_ptr<const Holding>> standing, given;
-  std::multimap<Nanos, Offer> under_way;
-  for (std::uint16_t p = 0; p < proxies; ++p) {
-    pushes.introduce(0s, ProxyId{p});
-    pushes.next(0s);
-    pushes.joined(0s, ProxyId{p}, true);
-  }
-  Nanos now = 0s;
-  std::uint64_t version = 0;
-  const auto turn = [&](bool failing) {
-    while (!under_way.empty() && under_way.begin()->first <= now) {
-      const auto offer = under_way.begin()->second;
-      under_way.erase(under_way.begin());
-      if (failing && *rc::gen::inRange(0, 4) == 0) {
-        pushes.failed(now, offer.proxy);
-      } else {
-        if (offer.holding) given[offer.proxy] = offer.holding;
-        pushes.taken(now, offer.proxy, offer.holding ? offer.holding->since : VersionNumber{});
-      }
-    }
-    while (const auto offer = pushes.next(now)) {
-      if (offer->holding) {
-        auto& sent = messages[offer->proxy];
-        const auto since = static_cast<std::uint64_t>(offer->holding->since);
-        if (sent.empty() || sent.back().second != since) sent.emplace_back(now, since);
-        while (sent.front().first <= now - 10s) sent.pop_front();
-        RC_ASSERT(sent.size() <= 12U);
-      }
-      under_way.emplace(now + (offer->proxy == ProxyId{0} ? 900ms : 20ms), *offer);
-    }
-  };
-  for (int n = *rc::gen::inRange(20, 200); n > 0; --n) {
-    now += std::chrono::milliseconds(*rc::gen::inRange(1, 300));
-    if (*rc::gen::arbitrary<bool>()) {
-      const ProxyId proxy{static_cast<std::uint16_t>(*rc::gen::inRange(0, static_cast<int>(proxies)))};
-      standing[proxy] =
-          *rc::gen::arbitrary<bool>() ? holding_of(++version, {1, 2}) : holding_of(++version, {2, 3});
-      pushes.ordered(now, proxy, standing[proxy], 2);
-    }
-    turn(true);
-  }
-  for (int n = 0; n < 400; ++n) now += 50ms, turn(false);
-  for (const auto& [proxy, holding] : standing) RC_ASSERT(given[proxy] == holding);
-  RC_ASSERT(pushes.counts().waiting == 0);
-}
-
-}  // namespace
-}  // namespace ospreypost::book
--- /dev/null
+++ b/tests/program/pushes_test.cpp
@@ -0,0 +1,246 @@
+// When proxies that are pushed to are sent what, and which of several governors orders them.
+#include "book/pushes.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+
+#include "book/claims.h"
+
+namespace ospreypost::book {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr PushLimits kLimits{2, 1000, 12, 10s, 2500ms, 1s};
+
+std::shared_ptr<const Holding> holding_of(std::uint64_t since,
+                                          std::initializer_list<std::uint32_t> replicas) {
+  auto view = std::make_shared<View>();
+  for (const auto id : replicas) view->lines.push_back({ReplicaId{id}, 1.0});
+  auto holding = std::make_shared<Holding>();
+  holding->since = VersionNumber{since};
+  holding->views = {view};
+  return holding;
+}
+
+struct PushScene {
+  Pushes pushes{kLimits};
+  ProxyId proxy{1};
+  PushScene() {
+    pushes.introduce(0s, proxy);
+    EXPECT_FALSE(pushes.next(0s)->holding);
+    pushes.joined(0s, proxy, true);
+    pushes.ordered(0s, proxy, holding_of(1, {1, 2}), 3);
+    EXPECT_EQ(pushes.next(0s)->holding->since, VersionNumber{1});
+    pushes.taken(10ms, proxy, VersionNumber{1});
+  }
+};
+
+TEST(Pushes, WithdrawalsGoFirstAndArePressedOnWith) {
+  PushScene scene;
+  auto& pushes = scene.pushes;
+  pushes.introduce(0s, ProxyId{0});
+  pushes.joined(0s, ProxyId{0}, true);
+  pushes.ordered(1s, ProxyId{0}, holding_of(2, {1, 2}), 3);
+  pushes.ordered(1s, scene.proxy, holding_of(2, {1}), 1);
+  EXPECT_EQ(pushes.next(1s)->proxy, scene.proxy);
+  pushes.failed(1100ms, scene.proxy);
+  EXPECT_EQ(pushes.next(1101ms)->proxy, ProxyId{0});
+  EXPECT_FALSE(pushes.next(1102ms));
+  EXPECT_EQ(pushes.next(1200ms)->proxy, scene.proxy);
+  // A confirmation of something older is none.
+  pushes.taken(1300ms, scene.proxy, VersionNumber{1});
+  EXPECT_EQ(pushes.next(1301ms)->holding->since, VersionNumber{2});
+  pushes.taken(1400ms, scene.proxy, VersionNumber{2});
+  EXPECT_TRUE(pushes.lost(3600ms).empty());
+}
+
+TEST(Pushes, WhoCannotConfirmAWithdrawalIsGivenUpOn) {
+  PushScene scene;
+  scene.pushes.ordered(1s, scene.proxy, holding_of(2, {1}), 1);
+  Nanos now = 1s;
+  for (; now < 3400ms; now += 20ms) {
+    if (scene.pushes.next(now)) scene.pushes.failed(now, scene.proxy);
+    EXPECT_TRUE(scene.pushes.lost(now).empty());
+  }
+  EXPECT_EQ(scene.pushes.lost(3600ms), std::vector{scene.proxy});
+  EXPECT_FALSE(scene.pushes.held(scene.proxy));
+  // It answers again, with an unknown table: the whole one must reach it in time as well.
+  scene.pushes.joined(5s, scene.proxy, false);
+  scene.pushes.ordered(5s, scene.proxy, holding_of(2, {1}), 3);
+  EXPECT_EQ(scene.pushes.lost(7600ms), std::vector{scene.proxy});
+}
+
+// Its lease runs while a change waits for the channel or for a token.
+TEST(Pushes, GoOnGivingSignsOfLifeToWhoWaits) {
+  PushScene scene;
+  std::uint64_t version = 1;
+  Nanos now = 10ms, spoke = now;
+  for (; now < 9s; now += 10ms) {
+    if (now % 100ms == 0ns) {
+      ++version;
+      scene.pushes.ordered(now, scene.proxy, holding_of(version, {1, 2, 3 + (version % 2 ? 1U : 0U)}), 1);
+    }
+    if (const auto offer = scene.pushes.next(now)) {
+      scene.pushes.taken(now, scene.proxy, offer->holding ? offer->holding->since : VersionNumber{});
+      spoke = now;
+    }
+    EXPECT_LE(now - spoke, kLimits.renew);
+  }
+}
+
+TEST(Pushes, WhoseTablesAreGoneGetsThemAgain) {
+  PushScene scene;
+  auto& pushes = scene.pushes;
+  EXPECT_FALSE(pushes.next(2s)->holding);
+  EXPECT_FALSE(pushes.met(2s, scene.proxy, VersionNumber{1}));
+  EXPECT_FALSE(pushes.next(4s)->holding);
+  EXPECT_TRUE(pushes.met(4s, scene.proxy, std::nullopt));
+  pushes.ordered(4s, scene.proxy, holding_of(1, {1, 2}), 3);
+  EXPECT_EQ(pushes.next(4s)->holding->since, VersionNumber{1});
+}
+
+TEST(Pushes, WhoFollowsAnotherIsGivenUpAtOnce) {
+  PushScene scene;
+  scene.pushes.ordered(1s, scene.proxy, holding_of(2, {1}), 1);
+  scene.pushes.next(1s);
+  scene.pushes.refused(1s, scene.proxy);
+  EXPECT_FALSE(scene.pushes.held(scene.proxy));
+  EXPECT_FALSE(scene.pushes.next(1500ms));
+  EXPECT_EQ(scene.pushes.counts().waiting, 0);
+  // Looked at now and then.
+  EXPECT_FALSE(scene.pushes.next(2100ms)->holding);
+}
+
+// A slow proxy holds up nobody; no window holds too many messages to any; what is confirmed last is what
+// stands.
+RC_GTEST_PROP(Pushes, ReachEverybodyWithinTheMessages, ()) {
+  constexpr std::uint16_t proxies = 4;
+  Pushes pushes(kLimits);
+  std::map<ProxyId, std::deque<std::pair<Nanos, std::uint64_t>>> messages;
+  std::map<ProxyId, std::shared_ptr<const Holding>> standing, given;
+  std::multimap<Nanos, Offer> under_way;
+  for (std::uint16_t p = 0; p < proxies; ++p) {
+    pushes.introduce(0s, ProxyId{p});
+    pushes.next(0s);
+    pushes.joined(0s, ProxyId{p}, true);
+  }
+  Nanos now = 0s;
+  std::uint64_t version = 0;
+  const auto turn = [&](bool failing) {
+    while (!under_way.empty() && under_way.begin()->first <= now) {
+      const auto offer = under_way.begin()->second;
+      under_way.erase(under_way.begin());
+      if (failing && *rc::gen::inRange(0, 4) == 0) {
+        pushes.failed(now, offer.proxy);
+      } else {
+        if (offer.holding) given[offer.proxy] = offer.holding;
+        pushes.taken(now, offer.proxy, offer.holding ? offer.holding->since : VersionNumber{});
+      }
+    }
+    while (const auto offer = pushes.next(now)) {
+      if (offer->holding) {
+        auto& sent = messages[offer->proxy];
+        const auto since = static_cast<std::uint64_t>(offer->holding->since);
+        if (sent.empty() || sent.back().second != since) sent.emplace_back(now, since);
+        while (sent.front().first <= now - 10s) sent.pop_front();
+        RC_ASSERT(sent.size() <= 12U);
+      }
+      under_way.emplace(now + (offer->proxy == ProxyId{0} ? 900ms : 20ms), *offer);
+    }
+  };
+  for (int n = *rc::gen::inRange(20, 200); n > 0; --n) {
+    now += std::chrono::milliseconds(*rc::gen::inRange(1, 300));
+    if (*rc::gen::arbitrary<bool>()) {
+      const ProxyId proxy{static_cast<std::uint16_t>(*rc::gen::inRange(0, static_cast<int>(proxies)))};
+      standing[proxy] =
+          *rc::gen::arbitrary<bool>() ? holding_of(++version, {1, 2}) : holding_of(++version, {2, 3});
+      pushes.ordered(now, proxy, standing[proxy], 2);
+    }
+    turn(true);
+  }
+  for (int n = 0; n < 400; ++n) now += 50ms, turn(false);
+  for (const auto& [proxy, holding] : standing) RC_ASSERT(given[proxy] == holding);
+  RC_ASSERT(pushes.counts().waiting == 0);
+}
+
+// --- Claims
+
+// What keeps a proxy's tables, as plainly as it can be said.
+struct Keeper {
+  Met lies;
+  int quiet = 0;  // steps since its owner spoke
+  Met look(const Claims& by, ProxyId proxy) {
+    if (lies.any && lies.owner == by.owner() && lies.epoch == by.epoch(proxy)) quiet = 0;
+    auto seen = lies;
+    seen.stale = lies.any && quiet > 5;
+    return seen;
+  }
+  bool take(const Claims& by, ProxyId proxy, std::uint64_t version) {
+    const auto epoch = by.epoch(proxy);
+    if (lies.any && (epoch < lies.epoch || (epoch == lies.epoch && by.owner() != lies.owner))) return false;
+    lies = {true, epoch, VersionNumber{version}, by.owner(), false};
+    quiet = 0;
+    return true;
+  }
+};
+
+// Processes start, die, fall silent and speak in any order, with clocks that go back. Whoever is told that a
+// proxy is its own gets its next order taken unless another claimed since; nobody gets one taken who was told
+// otherwise; nothing changes hands but by a first meeting or an ended lease.
+RC_GTEST_PROP(Claims, OneProcessOrdersAtATime, ()) {
+  const ProxyId proxy{3};
+  Keeper keeper;
+  std::uint64_t made = 0, version = 0;
+  const auto start = [&] {
+    return std::make_unique<Claims>(*rc::gen::inRange<std::uint64_t>(1, 20), "g" + std::to_string(++made));
+  };
+  std::array<std::unique_ptr<Claims>, 2> governors{start(), start()};
+  std::map<std::string, Claims::Standing> told;
+  for (int n = *rc::gen::inRange(5, 120); n > 0; --n) {
+    auto& one = governors[*rc::gen::inRange<std::size_t>(0, 2)];
+    auto& by = *one;
+    ++keeper.quiet;
+    switch (*rc::gen::inRange(0, 5)) {
+      case 0:
+        one = start();
+        break;
+      case 1:
+      case 2: {
+        const bool first = by.epoch(proxy) == 0;
+        const auto seen = keeper.look(by, proxy);
+        const auto standing = by.met(proxy, seen);
+        if (standing == Claims::Standing::claimed) RC_ASSERT(first || seen.stale);
+        if (first) RC_ASSERT(standing == Claims::Standing::claimed);
+        told[by.owner()] = standing;
+        // An order right after the look is taken, or not, as it says.
+        if (standing == Claims::Standing::claimed) {
+          const auto before = keeper.lies;
+          RC_ASSERT(keeper.take(by, proxy, ++version));
+          RC_ASSERT(!before.any || before.epoch < keeper.lies.epoch);
+        }
+        break;
+      }
+      default: {
+        if (!told.contains(by.owner()) || told[by.owner()] == Claims::Standing::theirs) break;
+        const auto before = keeper.lies;
+        if (keeper.take(by, proxy, ++version)) {
+          RC_ASSERT(before.owner == by.owner());
+        } else {
+          const auto seen = keeper.look(by, proxy);
+          told[by.owner()] = by.met(proxy, seen);
+          RC_ASSERT((told[by.owner()] == Claims::Standing::claimed) == seen.stale);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace ospreypost::book
