A way back through the governor by proxy, recalled as soon as it names a replica that is out

An operator could go back only at a receiver's own address, and a replica that drained after that stayed in use if the newest tables did not name it, because nothing was ordered then. The governor now takes generations and rollback by the proxy's name, knows from the receiver which replicas it goes by instead, and recalls as pressingly as any withdrawal when one of them is out.

--- a/src/book/claims.h
+++ b/src/book/claims.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "book/version.h"
 
@@ -24,6 +25,8 @@
   VersionNumber version{};
   std::string owner;   // the process that ordered it
   bool stale = false;  // nobody who holds it has spoken within its lease
+  // After a way back by hand: the replicas that it goes by instead of the newest's, by name.
+  std::vector<std::string> instead;
 };
 
 class Claims {
--- a/src/book/pushes.cpp
+++ b/src/book/pushes.cpp
@@ -61,8 +61,31 @@
 void Pushes::press(Nanos now, Proxy& proxy) const {
   const bool by_given = proxy.given ? presses(*proxy.given, *proxy.standing) : !proxy.fresh;
   const bool by_sent = proxy.sent && presses(*proxy.sent, *proxy.standing);
-  if (!by_given && !by_sent) proxy.pressing_since.reset();
-  if ((by_given || by_sent) && !proxy.pressing_since) proxy.pressing_since = now;
+  const bool presses = by_given || by_sent || proxy.recall;
+  if (!presses) proxy.pressing_since.reset();
+  if (presses && !proxy.pressing_since) proxy.pressing_since = now;
+}
+
+void Pushes::went_back(Nanos now, ProxyId id, std::set<ReplicaId> instead) {
+  auto& proxy = proxies_.at(id);
+  if (!proxy.joined || !proxy.standing) return;
+  // The proxy was shown other tables, by whomever.
+  if (!instead.empty() && instead != proxy.instead) TokenLimit::take(proxy.bucket);
+  proxy.instead = std::move(instead);
+  note_recall(now, proxy);
+}
+
+void Pushes::note_recall(Nanos now, Proxy& proxy) const {
+  proxy.recall = std::any_of(proxy.instead.begin(), proxy.instead.end(),
+                             [&](ReplicaId replica) { return out_.contains(replica); });
+  press(now, proxy);
+}
+
+void Pushes::out(Nanos now, std::set<ReplicaId> replicas) {
+  out_ = std::move(replicas);
+  for (auto& [id, proxy] : proxies_) {
+    if (!proxy.instead.empty()) note_recall(now, proxy);
+  }
 }
 
 void Pushes::ordered(Nanos now, ProxyId id, std::shared_ptr<const Holding> holding, std::size_t lines) {
@@ -87,7 +110,7 @@
     const bool quiet = now >= proxy.spoke + limits_.renew;
     int kind = !wants(proxy) ? 3 : !proxy.given ? 1 : proxy.pressing_since ? 0 : 2;
     // What was sent before and may have arrived is no new message.
-    const bool again = proxy.sent == proxy.standing;
+    const bool again = proxy.sent == proxy.standing && !proxy.recall;
     const bool waits = ((kind == 1 || kind == 2) && now < channel_free_) ||
                        (kind < 3 && !again && !limit_.allows(now, proxy.bucket, kind < 2));
     // Its lease runs while it waits, so it gets signs of life like any other.
@@ -99,14 +122,14 @@
   if (!best) return std::nullopt;
   auto& proxy = best->second;
   proxy.under_way = true;
-  if (std::get<0>(best_rank) == 3) return Offer{best->first, nullptr};
-  if (proxy.sent != proxy.standing) {
+  if (std::get<0>(best_rank) == 3) return Offer{best->first, nullptr, false};
+  if (proxy.sent != proxy.standing || proxy.recall) {
     TokenLimit::take(proxy.bucket);
     channel_free_ = std::max(channel_free_, now) + nanos(proxy.waiting / limits_.lines_per_second);
   }
   proxy.sent = proxy.standing;
   ++counts_.pushes;
-  return Offer{best->first, proxy.sent};
+  return Offer{best->first, proxy.sent, !proxy.instead.empty()};
 }
 
 std::optional<Nanos> Pushes::wake(Nanos now) const {
@@ -135,6 +158,8 @@
   // A confirmation of something older, late or twice, tells that it lives and no more.
   if (!proxy.sent || proxy.sent->since != since) return;
   proxy.given = proxy.sent;
+  proxy.instead.clear();
+  proxy.recall = false;
   if (proxy.given == proxy.standing) wait(proxy, 0);
   press(now, proxy);
 }
@@ -166,6 +191,8 @@
   wait(proxy, 0);
   proxy.joined = false;
   proxy.given = proxy.sent = proxy.standing = nullptr;
+  proxy.instead.clear();
+  proxy.recall = false;
   proxy.pressing_since.reset();
 }
 
--- a/src/book/pushes.h
+++ b/src/book/pushes.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "book/tokens.h"
@@ -28,6 +29,7 @@
 struct Offer {
   ProxyId proxy{};
   std::shared_ptr<const Holding> holding;
+  bool recall = false;  // in place of what somebody went back to by hand
 };
 
 class Pushes {
@@ -41,6 +43,11 @@
   // It answered a sign of life: the newest that lies there is of that version, or nothing does. True if it
   // joins by that, anew if what lies there is not what it was sent.
   bool met(Nanos now, ProxyId proxy, std::optional<VersionNumber> version);
+  // Somebody went back by hand to tables of these replicas. That stands until something newer is ordered, or
+  // one of them may be sent to no more: then it is recalled, as pressing as any withdrawal.
+  void went_back(Nanos now, ProxyId proxy, std::set<ReplicaId> instead);
+  // Whom nobody may send to now.
+  void out(Nanos now, std::set<ReplicaId> replicas);
   void ordered(Nanos now, ProxyId proxy, std::shared_ptr<const Holding> holding, std::size_t lines);
 
   // What should be sent now, if anything; it counts as under way until `taken` or `failed`. A null holding
@@ -71,21 +78,25 @@
     std::shared_ptr<const Holding> given, sent, standing;
     // With what it may go by, it could send where it must not: since when. A failed push may have been taken.
     std::optional<Nanos> pressing_since;
+    std::set<ReplicaId> instead;  // of its tables, if somebody went back
+    bool recall = false;
     double waiting = 0;
     TokenLimit::Bucket bucket;
     Nanos not_before{}, spoke{};
     Nanos pause{};
   };
   bool wants(const Proxy& proxy) const {
-    return proxy.joined && proxy.standing && proxy.given != proxy.standing;
+    return proxy.joined && proxy.standing && (proxy.recall || proxy.given != proxy.standing);
   }
   void wait(Proxy& proxy, double lines);
   void press(Nanos now, Proxy& proxy) const;
+  void note_recall(Nanos now, Proxy& proxy) const;
   void give_up(Proxy& proxy);
 
   const PushLimits limits_;
   const TokenLimit limit_;
   std::map<ProxyId, Proxy> proxies_;
+  std::set<ReplicaId> out_;
   Nanos channel_free_{};  // when what was sent so far has passed the channel
   Counts counts_;
 };
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -22,8 +22,10 @@
   bool no_reader = false;
 };
 int receive(const ReceiveOptions& options);
-int show_generations(const std::string& at);
-int rollback(const std::string& at, std::uint64_t version);
+// Of a receiver; or of a proxy's, through its governor.
+int show_generations(const std::string& at, const std::string& proxy);
+// `whom`: a receiver's address; or a proxy, through its governor.
+int rollback(const std::string& whom, std::uint64_t version, const std::string& governor);
 
 struct DayOptions {
   std::string path;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -25,6 +25,9 @@
   show->add_option("WHAT", showing.what, "tables, replicas, proxies, versions; generations of a receiver")
       ->required()
       ->check(CLI::IsMember({"tables", "replicas", "proxies", "versions", "generations"}));
+  std::string proxy;
+  show->add_option("PROXY", proxy,
+                   "for generations, through its governor; without, --at is its receiver's address");
   show->add_option("--at", showing.at, "where it takes reports, such as 127.0.0.1:4318")->required();
   show->add_flag("--json", showing.json, "for machines");
 
@@ -39,7 +42,9 @@
   std::uint64_t version = 0;
   auto* rollback =
       app.add_subcommand("rollback", "make a kept generation current again, unless it names who is out");
-  rollback->add_option("RECEIVER", at, "address of the proxy's receiver")->required();
+  std::string whom;
+  rollback->add_option("PROXY", whom, "its name; without --at, the address of its receiver")->required();
+  rollback->add_option("--at", at, "where its governor takes reports, such as 127.0.0.1:4318");
   rollback->add_option("VERSION", version, "as `show generations` lists it")->required();
 
   cli::DayOptions playing;
@@ -59,8 +64,8 @@
   if (serve->parsed()) return cli::serve(config);
   if (check->parsed()) return cli::check_config(config);
   if (receive->parsed()) return cli::receive(receiving);
-  if (rollback->parsed()) return cli::rollback(at, version);
-  if (showing.what == "generations") return cli::show_generations(showing.at);
+  if (rollback->parsed()) return cli::rollback(whom, version, at);
+  if (showing.what == "generations") return cli::show_generations(showing.at, proxy);
   if (day->parsed()) return cli::day(playing);
   return cli::show(showing);
 }
--- a/src/cli/receive.cpp
+++ b/src/cli/receive.cpp
@@ -33,24 +33,27 @@
 
 }  // namespace
 
-int show_generations(const std::string& at) {
+int show_generations(const std::string& at, const std::string& proxy) {
   http::Request request;
-  request.target = "/state";
-  const auto state = files::read_state(http::fetch(net::Address::parse(at), request, soon()).body);
+  request.target = proxy.empty() ? "/state" : "/generations/" + proxy;
+  const auto answer = http::fetch(net::Address::parse(at), request, soon());
+  if (answer.status != 200) throw net::Error(answer.body.substr(0, answer.body.find('\n')));
+  const auto state = files::read_state(answer.body);
   for (const auto& stamp : state.kept) {
     std::cout << "epoch " << stamp.epoch << "  version " << stamp.version
               << (stamp == state.stored ? "  current" : "") << (stamp == state.applied ? "  applied" : "")
-              << '\n';
+              << (stamp == state.newest.stamp ? "  newest, of " + state.newest.owner : "") << '\n';
   }
   if (state.stale) std::cout << "stale: no governor has spoken within the lease\n";
   return 0;
 }
 
-int rollback(const std::string& at, std::uint64_t version) {
+int rollback(const std::string& whom, std::uint64_t version, const std::string& governor) {
   http::Request request;
   request.method = "POST";
-  request.target = "/rollback?version=" + std::to_string(version);
-  const auto answer = http::fetch(net::Address::parse(at), request, soon());
+  const auto asks = "?version=" + std::to_string(version);
+  request.target = governor.empty() ? "/rollback" + asks : "/rollback/" + whom + asks;
+  const auto answer = http::fetch(net::Address::parse(governor.empty() ? whom : governor), request, soon());
   if (answer.status == 200) return 0;
   std::cerr << answer.body;
   return 1;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -217,4 +217,11 @@
 
 Config read_config(const std::string& path) { return parse_config(read_file(path), path); }
 
+std::optional<ProxyId> find_proxy(const Config& config, std::string_view name) {
+  for (std::size_t p = 0; p < config.proxies.known.size(); ++p) {
+    if (config.proxies.known[p].name == name) return ProxyId{static_cast<std::uint16_t>(p)};
+  }
+  return std::nullopt;
+}
+
 }  // namespace ospreypost::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -88,4 +88,7 @@
 Config parse_config(std::string_view text, const std::string& label);
 Config read_config(const std::string& path);
 
+// By its name; empty if there is none.
+std::optional<ProxyId> find_proxy(const Config& config, std::string_view name);
+
 }  // namespace ospreypost::config
--- a/src/day/run.cpp
+++ b/src/day/run.cpp
@@ -148,6 +148,20 @@
     }
   }
 
+  // As far as the governor lets it.
+  void go_back(const std::string& proxy) {
+    http::Request request;
+    request.target = "/generations/" + proxy;
+    const auto until = net::Steady::now() + 2s;
+    const auto state = nlohmann::json::parse(http::fetch(stage_->reports(), request, until).body);
+    request.method = "POST";
+    for (const auto& stamp : state.at("kept")) {
+      request.target = "/rollback/" + proxy + "?version=" + stamp.at(1).dump();
+      if (http::fetch(stage_->reports(), request, until).status == 200) return;
+    }
+    throw net::Error("there was no way back for " + proxy);
+  }
+
   std::vector<Step> steps_of() {
     std::vector<Step> steps;
     const auto add = [&](Nanos at, const std::string& what, std::function<void()> act) {
@@ -216,6 +230,10 @@
           add(end, "reads again " + name, [this, name] { stage_->be_deaf(name, false); });
         }
         return;
+      case TroubleKind::way_back:
+        for (const auto& name : trouble.whom)
+          add(trouble.at, "way back " + name, [this, name] { go_back(name); });
+        return;
       case TroubleKind::disk_full:
         for (const auto& name : trouble.whom) {
           const auto fill = [this, name](bool full) {
--- a/src/day/script.cpp
+++ b/src/day/script.cpp
@@ -23,6 +23,7 @@
                                                           {"cut", TroubleKind::cut},
                                                           {"push-fault", TroubleKind::push_fault},
                                                           {"deaf", TroubleKind::deaf},
+                                                          {"way-back", TroubleKind::way_back},
                                                           {"disk-full", TroubleKind::disk_full},
                                                           {"second-governor", TroubleKind::second_governor},
                                                           {"governor-killed", TroubleKind::governor_killed},
@@ -30,7 +31,8 @@
 
 bool is_of_proxies(TroubleKind kind) {
   return kind == TroubleKind::cut || kind == TroubleKind::receiver_killed ||
-         kind == TroubleKind::push_fault || kind == TroubleKind::deaf || kind == TroubleKind::disk_full;
+         kind == TroubleKind::push_fault || kind == TroubleKind::deaf || kind == TroubleKind::way_back ||
+         kind == TroubleKind::disk_full;
 }
 
 Trouble read_trouble(const Element& element) {
--- a/src/day/script.h
+++ b/src/day/script.h
@@ -42,6 +42,7 @@
   receiver_killed,
   push_fault,
   deaf,
+  way_back,
   disk_full,
   second_governor,
   governor_killed,
--- a/src/files/folder.cpp
+++ b/src/files/folder.cpp
@@ -113,12 +113,16 @@
   sync_folder(path_);
 }
 
-Taken Folder::take(const Generation& generation) {
+Taken Folder::take(const Generation& generation, bool recall) {
   const auto newest_taken = newest();
   const auto folder = path_ / name_of(generation.stamp);
   if (newest_taken && generation.stamp < *newest_taken) return Taken::older;
-  if (newest_taken && generation.stamp == *newest_taken && whole(folder))
-    return linked() == generation.stamp ? Taken::same : Taken::older;
+  if (newest_taken && generation.stamp == *newest_taken && whole(folder)) {
+    if (linked() == generation.stamp) return Taken::same;
+    if (!recall) return Taken::older;
+    swap(generation.stamp);
+    return Taken::swapped;
+  }
   if (newest_taken && generation.stamp.epoch == newest_taken->epoch) {
     const auto last = whole(path_ / name_of(*newest_taken));
     if (last && last->owner != generation.owner) return Taken::older;
@@ -171,7 +175,7 @@
   return found.st_mtim.tv_sec * 1'000'000'000 + found.st_mtim.tv_nsec;
 }
 
-void Folder::roll_back(std::uint64_t version) {
+void Folder::roll_back(std::uint64_t version, const std::vector<std::string>& out) {
   const auto newest_taken = newest();
   const auto now = newest_taken ? whole(path_ / name_of(*newest_taken)) : std::nullopt;
   if (!now) throw net::Error("nothing whole is current");
@@ -183,7 +187,8 @@
   const auto old = whole(path_ / name_of(*at));
   if (!old) throw net::Error(wanted + " is not whole");
   for (const auto& name : old->names) {
-    if (std::find(now->out.begin(), now->out.end(), name) != now->out.end())
+    if (std::find(now->out.begin(), now->out.end(), name) != now->out.end() ||
+        std::find(out.begin(), out.end(), name) != out.end())
       throw net::Error(wanted + " would bring back " + name + ", which is out");
   }
   write(path_ / "newest.new", name_of(*newest_taken));
--- a/src/files/folder.h
+++ b/src/files/folder.h
@@ -24,11 +24,13 @@
   // before each thing that is done to the file system, with its name; tests fail or die there. Throws
   // net::Error if the folder cannot be used.
   Folder(std::filesystem::path path, std::size_t keep, std::function<void(const char*)> step = {});
-  // Throws net::Error if the file system fails; what was current stays.
-  Taken take(const Generation& generation);
+  // Throws net::Error if the file system fails; what was current stays. `recall`: the newest is made current
+  // again after a way back.
+  Taken take(const Generation& generation, bool recall = false);
   // Makes a kept generation current again, until something newer than all that was ever current is taken.
-  // Throws net::Error if it is not kept, is not whole, or names a replica that is out by the newest one.
-  void roll_back(std::uint64_t version);
+  // Throws net::Error if it is not kept, is not whole, or names a replica that is out, by the newest one or
+  // by `out`.
+  void roll_back(std::uint64_t version, const std::vector<std::string>& out);
   // The newest generation of ours whose manifest and files are whole; empty if there is none.
   std::optional<Generation> current() const;
   // What was ever the newest, also after a way back; its owner is empty if its files are damaged.
--- a/src/files/pusher.cpp
+++ b/src/files/pusher.cpp
@@ -1,6 +1,7 @@
 #include "files/pusher.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace ospreypost::files {
@@ -11,8 +12,12 @@
 constexpr Nanos kLongest = 500ms;  // between looks, whatever is due
 
 book::Met met(const State& state) {
-  return {state.any, state.newest.stamp.epoch, book::VersionNumber{state.newest.stamp.version},
-          state.newest.owner, state.stale};
+  return {state.any,
+          state.newest.stamp.epoch,
+          book::VersionNumber{state.newest.stamp.version},
+          state.newest.owner,
+          state.stale,
+          state.instead};
 }
 
 }  // namespace
@@ -99,7 +104,7 @@
   const auto until = net::Steady::now() + config_.files.patience;
   try {
     if (!push.holding) {
-      core_.push_met(push.proxy, met(state_of(push, until)));
+      core_.push_met(push.proxy, met(state_of(push.proxy, &push, until)));
     } else {
       const auto [delivery, state] = deliver(push, until);
       switch (delivery) {
@@ -123,32 +128,59 @@
   changed_.notify_one();
 }
 
-State Pusher::state_of(const front::Push& push, net::Deadline until) {
-  const auto& proxy = config_.proxies.known[static_cast<std::size_t>(push.proxy)];
-  if (!proxy.folder.empty()) {
-    auto& shelf = *shelves_.at(proxy.folder);
-    shelf.renew(push.epoch, push.owner);
-    return shelf.state();
+Shelf* Pusher::shelf_of(const config::ProxyEntry& proxy) {
+  if (!proxy.is_pushed_to()) throw net::Error(proxy.name + " has neither a folder nor a receiver");
+  return proxy.folder.empty() ? nullptr : shelves_.at(proxy.folder).get();
+}
+
+State Pusher::state_of(ProxyId id, const front::Push* speaker, net::Deadline until) {
+  const auto& proxy = config_.proxies.known[static_cast<std::size_t>(id)];
+  if (auto* shelf = shelf_of(proxy)) {
+    if (speaker) shelf->renew(speaker->epoch, speaker->owner);
+    return shelf->state();
   }
   http::Request request;
-  request.target = "/state?epoch=" + std::to_string(push.epoch) + "&owner=" + push.owner;
+  request.target = "/state";
+  if (speaker) request.target += "?epoch=" + std::to_string(speaker->epoch) + "&owner=" + speaker->owner;
   const auto answer = http::fetch(*proxy.receiver, request, until);
   if (answer.status != 200)
     throw net::Error("its receiver answers with status " + std::to_string(answer.status));
   return read_state(answer.body);
 }
 
+State Pusher::look(ProxyId proxy) {
+  return state_of(proxy, nullptr, net::Steady::now() + config_.files.patience);
+}
+
+State Pusher::roll_back(ProxyId id, std::uint64_t version, const std::vector<std::string>& out) {
+  const auto& proxy = config_.proxies.known[static_cast<std::size_t>(id)];
+  const auto until = net::Steady::now() + config_.files.patience;
+  if (auto* shelf = shelf_of(proxy)) {
+    shelf->roll_back(version, out);
+  } else {
+    http::Request request;
+    request.method = "POST";
+    request.target = "/rollback?version=" + std::to_string(version);
+    request.body = nlohmann::json(out).dump();
+    const auto answer = http::fetch(*proxy.receiver, request, until);
+    if (answer.status != 200) throw net::Error(answer.body.substr(0, answer.body.find('\n')));
+  }
+  const auto state = look(id);
+  // Who was withdrawn meanwhile is recalled at once.
+  core_.push_went_back(id, state.instead);
+  return state;
+}
+
 std::pair<Delivery, State> Pusher::deliver(const front::Push& push, net::Deadline until) {
   const auto& proxy = config_.proxies.known[static_cast<std::size_t>(push.proxy)];
   const auto generation = generation_of(config_, push);
-  if (!proxy.folder.empty()) {
-    auto& shelf = *shelves_.at(proxy.folder);
-    const auto delivery = shelf.put(generation, until);
-    return {delivery, delivery == Delivery::older ? shelf.state() : State{}};
+  if (auto* shelf = shelf_of(proxy)) {
+    const auto delivery = shelf->put(generation, push.recall, until);
+    return {delivery, delivery == Delivery::older ? shelf->state() : State{}};
   }
   http::Request request;
   request.method = "PUT";
-  request.target = "/generation";
+  request.target = push.recall ? "/generation?recall" : "/generation";
   request.content_type = "application/json";
   request.body = write_generation(generation);
   const auto answer = http::fetch(*proxy.receiver, request, until);
--- a/src/files/pusher.h
+++ b/src/files/pusher.h
@@ -23,10 +23,18 @@
   void something_ordered() override;
   void stop();
 
+  // By hand. What lies at a proxy; throws net::Error if nobody there can say, or it has neither folder nor
+  // receiver.
+  State look(ProxyId proxy);
+  // Throws net::Error saying why not. `out`: whom nobody may send to.
+  State roll_back(ProxyId proxy, std::uint64_t version, const std::vector<std::string>& out);
+
  private:
   void schedule();
   void carry(const front::Push& push);
-  State state_of(const front::Push& push, net::Deadline until);
+  // A sign of life, if a speaker is given.
+  State state_of(ProxyId proxy, const front::Push* speaker, net::Deadline until);
+  Shelf* shelf_of(const config::ProxyEntry& proxy);
   std::pair<Delivery, State> deliver(const front::Push& push, net::Deadline until);
 
   const config::Config& config_;
--- a/src/files/receiver.cpp
+++ b/src/files/receiver.cpp
@@ -47,6 +47,7 @@
                {"newest_epoch", state.newest.stamp.epoch},
                {"newest_version", state.newest.stamp.version},
                {"owner", state.newest.owner},
+               {"instead", state.instead},
                {"applied_epoch", state.applied.epoch},
                {"applied_version", state.applied.version},
                {"stale", state.stale},
@@ -65,6 +66,7 @@
         body.at("owner").get<std::string>()};
     state.applied = {body.at("applied_epoch").get<std::uint64_t>(),
                      body.at("applied_version").get<std::uint64_t>()};
+    state.instead = body.at("instead").get<std::vector<std::string>>();
     state.stale = body.at("stale").get<bool>();
     for (const auto& pair : body.at("kept"))
       state.kept.push_back({pair.at(0).get<std::uint64_t>(), pair.at(1).get<std::uint64_t>()});
@@ -100,10 +102,10 @@
   return !reader_confirms_ || folder_.applied().value_or(Stamp{}) == stamp;
 }
 
-Delivery Shelf::put(const Generation& generation, net::Deadline until) {
+Delivery Shelf::put(const Generation& generation, bool recall, net::Deadline until) {
   {
     const std::lock_guard held(lock_);
-    if (folder_.take(generation) == Taken::older) return Delivery::older;
+    if (folder_.take(generation, recall) == Taken::older) return Delivery::older;
     folder_.touch();
     lease_ = std::chrono::milliseconds(generation.lease_ms);
   }
@@ -119,7 +121,12 @@
   const std::lock_guard held(lock_);
   State state;
   try {
-    if (const auto current = folder_.current()) state.stored = current->stamp, state.any = true;
+    if (const auto current = folder_.current()) {
+      state.stored = current->stamp;
+      state.any = true;
+      if (const auto newest = folder_.newest_owned(); newest && newest->stamp != current->stamp)
+        state.instead = current->names;
+    }
   } catch (const net::Error&) {
     state.any = true;  // something lies there, and may be gone by
   }
@@ -131,9 +138,9 @@
 }
 
 // Guards against bringing back what was drained since: whoever is out by the newest word stays out.
-void Shelf::roll_back(std::uint64_t version) {
+void Shelf::roll_back(std::uint64_t version, const std::vector<std::string>& out) {
   const std::lock_guard held(lock_);
-  folder_.roll_back(version);
+  folder_.roll_back(version, out);
 }
 
 Receiver::Receiver(const ReceiverOptions& options)
@@ -160,14 +167,19 @@
     const auto* begin = request.target.data() + rollback.size();
     const auto* end = request.target.data() + request.target.size();
     if (std::from_chars(begin, end, version).ptr != end || begin == end) return said(400, "no version");
+    const auto out = request.body.empty() ? json::array() : json::parse(request.body, nullptr, false);
+    if (!out.is_array() ||
+        !std::all_of(out.begin(), out.end(), [](const json& name) { return name.is_string(); }))
+      return said(400, "the body is no array of names");
     try {
-      shelf_.roll_back(version);
+      shelf_.roll_back(version, out.get<std::vector<std::string>>());
       return {200, "application/json", write_state(shelf_.state()), std::nullopt, true};
     } catch (const net::Error& error) {
       return said(409, error.what());
     }
   }
-  if (request.target != "/generation" || request.method != "PUT")
+  const bool recall = request.target == "/generation?recall";
+  if ((request.target != "/generation" && !recall) || request.method != "PUT")
     return said(404, "PUT /generation or GET /state");
   Generation generation;
   try {
@@ -176,7 +188,7 @@
     return said(400, error.what());
   }
   try {
-    const auto delivery = shelf_.put(generation, net::Steady::now() + options_.confirm_within);
+    const auto delivery = shelf_.put(generation, recall, net::Steady::now() + options_.confirm_within);
     const unsigned status = delivery == Delivery::taken ? 200 : delivery == Delivery::unconfirmed ? 202 : 409;
     return {status, "application/json", write_state(shelf_.state()), std::nullopt, true};
   } catch (const net::Error& error) {
--- a/src/files/receiver.h
+++ b/src/files/receiver.h
@@ -1,12 +1,14 @@
 // What stands before a proxy's folder: takes generations, verifies, stores and swaps them, and answers when
 // the reader goes by them. Over HTTP:
 //
-//   PUT  /generation             200 taken; 202 stored, but its reader has not confirmed; 400 it does not
+//   PUT  /generation[?recall]    200 taken; 202 stored, but its reader has not confirmed; 400 it does not
 //   fit;
 //                                409 something newer was taken; 507 it cannot be stored
 //   GET  /state                  what is stored, gone by and kept, in JSON
 //   GET  /state?epoch=E&owner=O  the same; from whom the newest is, it is a sign of life
-//   POST /rollback?version=N     200; 409 it is not kept, or would bring back a replica that must stay out
+//   POST /rollback?version=N     200; 409 it is not kept, or would bring back a replica that must stay out;
+//   the body may
+//                                name more of them, as a JSON array
 #pragma once
 
 #include <atomic>
@@ -30,9 +32,10 @@
 // What a folder and its reader are at; as /state says it.
 struct State {
   Stamp stored, applied;
-  Folder::Newest newest;  // as `stored`, but after a way back
-  bool any = false;       // something is stored
-  bool stale = false;     // nobody who may order has spoken within the lease
+  Folder::Newest newest;             // as `stored`, but after a way back
+  std::vector<std::string> instead;  // after a way back: the replicas of `stored`
+  bool any = false;                  // something is stored
+  bool stale = false;                // nobody who may order has spoken within the lease
   std::vector<Stamp> kept;
 };
 std::string write_state(const State& state);
@@ -48,12 +51,12 @@
   Shelf(std::string folder, std::size_t keep, bool reader_confirms,
         std::function<void(const char*)> step = {});
   // Waits for the reader until the deadline. Throws net::Error if it cannot be stored.
-  Delivery put(const Generation& generation, net::Deadline until);
+  Delivery put(const Generation& generation, bool recall, net::Deadline until);
   // A sign of life: the lease runs anew if the newest is of that epoch and owner.
   void renew(std::uint64_t epoch, const std::string& owner);
   State state();
   // Throws net::Error saying why not.
-  void roll_back(std::uint64_t version);
+  void roll_back(std::uint64_t version, const std::vector<std::string>& out);
 
  private:
   bool confirmed(const Stamp& stamp) const;
--- a/src/front/core.h
+++ b/src/front/core.h
@@ -69,6 +69,7 @@
   std::shared_ptr<const book::Holding> holding;  // null: only a sign of life is asked for
   std::shared_ptr<const Directory> directory;
   std::vector<std::string> out;  // replicas that nobody may send to now, by name
+  bool recall = false;           // in place of what somebody went back to by hand
   std::uint64_t epoch = 0;       // that it is ordered by, and by which process
   std::string owner;
 };
@@ -108,6 +109,8 @@
   virtual void push_refused(ProxyId proxy, const book::Met& met) = 0;
   // It answers, and that lies there.
   virtual void push_met(ProxyId proxy, const book::Met& met) = 0;
+  // Somebody made it go back by hand, to tables of these replicas; nothing that is under way ends by that.
+  virtual void push_went_back(ProxyId proxy, const std::vector<std::string>& instead) = 0;
 };
 
 }  // namespace ospreypost::front
--- a/src/governor/live_governor.cpp
+++ b/src/governor/live_governor.cpp
@@ -8,7 +8,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr Nanos kSweep = 200ms;  // between looks for clients that fell silent
+constexpr ReplicaId kNobody{~std::uint32_t{0}};  // stands for names that no list gave
+constexpr Nanos kSweep = 200ms;                  // between looks for clients that fell silent
 
 // Proxies that pull take what waits for them when they ask, so the module need not space its messages: the
 // handouts keep that limit where the answers are made, and a drain is never held up by it.
@@ -79,7 +80,17 @@
       }
     }
   }
-  if (auto* pusher = pusher_.load(); pusher && published) pusher->something_ordered();
+  const bool out_changed = std::exchange(out_changed_, false);
+  if (out_changed) {
+    std::set<ReplicaId> out{kNobody};
+    for (std::size_t n = 0; n < phases_.size(); ++n) {
+      const ReplicaId id{static_cast<std::uint32_t>(n)};
+      if (is_out(id)) out.insert(id);
+    }
+    const std::lock_guard held(handouts_lock_);
+    pushes_.out(now, std::move(out));
+  }
+  if (auto* pusher = pusher_.load(); pusher && (published || out_changed)) pusher->something_ordered();
   const auto standing = published ? published->version : version_;
   if (published) {
     const std::lock_guard held(shared_lock_);
@@ -292,7 +303,7 @@
     offer = pushes_.next(clock_());
   }
   if (!offer) return std::nullopt;
-  front::Push push{offer->proxy, offer->holding, directory(), {}, 0, claims_.owner()};
+  front::Push push{offer->proxy, offer->holding, directory(), {}, offer->recall, 0, claims_.owner()};
   {
     const std::lock_guard held(handouts_lock_);
     push.epoch = claims_.epoch(offer->proxy);
@@ -328,6 +339,30 @@
   world_.log("push to " + entry_of(proxy).name + " failed: " + why, version());
 }
 
+// Whoever the list never named, or names no more, is out. With the handouts' lock held.
+void LiveGovernor::note_way_back(Nanos now, ProxyId proxy, const std::vector<std::string>& instead) {
+  const auto known = directory();
+  std::set<ReplicaId> replicas;
+  for (const auto& name : instead) {
+    const auto at = known->by_name.find(name);
+    replicas.insert(at == known->by_name.end() ? kNobody : at->second);
+  }
+  pushes_.went_back(now, proxy, std::move(replicas));
+}
+
+void LiveGovernor::push_went_back(ProxyId proxy, const std::vector<std::string>& instead) {
+  {
+    const std::lock_guard held(handouts_lock_);
+    note_way_back(clock_(), proxy, instead);
+  }
+  if (auto* pusher = pusher_.load()) pusher->something_ordered();
+}
+
+std::vector<std::string> LiveGovernor::out() const {
+  const std::lock_guard held(shared_lock_);
+  return out_;
+}
+
 void LiveGovernor::push_refused(ProxyId proxy, const book::Met& met) {
   {
     const std::lock_guard held(handouts_lock_);
@@ -355,8 +390,9 @@
     const auto now = clock_();
     switch (claims_.met(proxy, met)) {
       case book::Claims::Standing::ours:
-        if (!pushes_.met(now, proxy, met.any ? std::optional(met.version) : std::nullopt)) return;
-        break;
+        if (pushes_.met(now, proxy, met.any ? std::optional(met.version) : std::nullopt)) break;
+        note_way_back(now, proxy, met.instead);
+        return;
       case book::Claims::Standing::claimed:
         pushes_.joined(now, proxy, !met.any);
         break;
@@ -421,9 +457,10 @@
 // Whom nobody may send to now: withdrawn, draining or gone. Goes with every push, for what is kept there.
 void LiveGovernor::note_out() {
   out_.clear();
+  out_changed_ = true;
   for (std::size_t n = 0; n < phases_.size(); ++n) {
     const ReplicaId id{static_cast<std::uint32_t>(n)};
-    if (phases_[n] != Phase::ready || withdrawn_.contains(id)) out_.push_back(directory_->place(id).name);
+    if (is_out(id)) out_.push_back(directory_->place(id).name);
   }
 }
 void LiveGovernor::set_level(TableId table, ClassMask classes, double level, Retry retry) {
--- a/src/governor/live_governor.h
+++ b/src/governor/live_governor.h
@@ -72,6 +72,9 @@
   void push_failed(ProxyId proxy, const std::string& why) override;
   void push_refused(ProxyId proxy, const book::Met& met) override;
   void push_met(ProxyId proxy, const book::Met& met) override;
+  void push_went_back(ProxyId proxy, const std::vector<std::string>& instead) override;
+  // Whom nobody may send to now, by name.
+  std::vector<std::string> out() const;
   // Told of orders from then on; null: nobody. It must outlive that.
   void tell_orders_to(front::PushFront* pusher) { pusher_ = pusher; }
   std::shared_ptr<const front::Directory> directory() const override;
@@ -105,6 +108,10 @@
   }
   void note_places(const list::Roll::Taken& taken);
   void note_out();
+  void note_way_back(Nanos now, ProxyId proxy, const std::vector<std::string>& instead);
+  bool is_out(ReplicaId id) const {
+    return phases_[static_cast<std::size_t>(id)] != Phase::ready || withdrawn_.contains(id);
+  }
   void note_fault(ProxyId proxy, const std::string& why);
   void keep_time();
   std::vector<front::Entry> entries_for(std::optional<ZoneId> zone, std::optional<ProxyId> but) const;
@@ -124,6 +131,7 @@
   std::vector<Phase> phases_;
   std::set<ProxyId> joined_;
   std::set<ReplicaId> withdrawn_;
+  bool out_changed_ = false;
 
   // What fronts read without that lock; each held for a few instructions. Order: lock_ before these.
   mutable std::mutex clients_lock_;
--- a/src/governor/service.cpp
+++ b/src/governor/service.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 #include "governor/status.h"
@@ -137,12 +138,46 @@
   return {200, "application/json", body.dump(), std::nullopt, true};
 }
 
+http::Response Service::answer_generations(const std::string& name) {
+  const auto proxy = config::find_proxy(config_, name);
+  if (!proxy) return {404, "text/plain", "there is no proxy '" + name + "'\n", std::nullopt, true};
+  try {
+    return {200, "application/json", files::write_state(pusher_->look(*proxy)), std::nullopt, true};
+  } catch (const net::Error& error) {
+    return {502, "text/plain", std::string(error.what()) + "\n", std::nullopt, true};
+  }
+}
+
+http::Response Service::answer_rollback(const std::string& rest) {
+  constexpr std::string_view asks = "?version=";
+  const auto at = rest.find(asks);
+  const auto proxy = config::find_proxy(config_, rest.substr(0, at));
+  std::uint64_t version = 0;
+  const auto* end = rest.data() + rest.size();
+  if (at == std::string::npos || std::from_chars(rest.data() + at + asks.size(), end, version).ptr != end)
+    return {400, "text/plain", "ask for /rollback/PROXY?version=N\n", std::nullopt, true};
+  if (!proxy)
+    return {404, "text/plain", "there is no proxy '" + rest.substr(0, at) + "'\n", std::nullopt, true};
+  try {
+    const auto state = pusher_->roll_back(*proxy, version, live_->out());
+    log_->warn("rolled back {} to version {} by hand", rest.substr(0, at), version);
+    return {200, "application/json", files::write_state(state), std::nullopt, true};
+  } catch (const net::Error& error) {
+    return {409, "text/plain", std::string(error.what()) + "\n", std::nullopt, true};
+  }
+}
+
 http::Response Service::answer(const http::Request& request) {
+  constexpr std::string_view generations = "/generations/", rollback = "/rollback/";
+  if (request.method == "POST" && request.target.starts_with(rollback))
+    return answer_rollback(request.target.substr(rollback.size()));
   if (request.target == "/v1/metrics") {
     if (request.method != "POST") return {405, "text/plain", "POST reports here\n", std::nullopt, true};
     return take_metrics(request);
   }
   if (request.method != "GET") return {405, "text/plain", "only GET here\n", std::nullopt, true};
+  if (request.target.starts_with(generations))
+    return answer_generations(request.target.substr(generations.size()));
   const auto body = status_of(request.target, config_, live_->standing(), intake_->totals());
   if (!body) return {404, "text/plain", "nothing of that name\n", std::nullopt, true};
   return {200, "application/json", *body, std::nullopt, true};
--- a/src/governor/service.h
+++ b/src/governor/service.h
@@ -42,6 +42,9 @@
 
   http::Response answer(const http::Request& request);
   http::Response take_metrics(const http::Request& request);
+  // /generations/PROXY, /rollback/PROXY?version=N
+  http::Response answer_generations(const std::string& proxy);
+  http::Response answer_rollback(const std::string& rest);
   void complain(const std::string& what);
   void ask_load(ReplicaId replica, const net::Address& at);
 
--- a/tests/program/files_test.cpp
+++ b/tests/program/files_test.cpp
@@ -156,13 +156,17 @@
   auto newest = generation(3, {"a"});
   newest.out = {"b"};
   folder.take(newest);
-  EXPECT_THROW(folder.roll_back(1), net::Error);
-  EXPECT_THROW(folder.roll_back(8), net::Error);
-  folder.roll_back(2);
+  EXPECT_THROW(folder.roll_back(1, {}), net::Error);
+  EXPECT_THROW(folder.roll_back(8, {}), net::Error);
+  EXPECT_THROW(folder.roll_back(2, {"c"}), net::Error);
+  folder.roll_back(2, {});
   EXPECT_EQ(folder.current()->stamp.version, 2U);
   // A repeat of the newest does not undo it, and what is out by the newest stays out.
   EXPECT_EQ(folder.take(newest), Taken::older);
-  EXPECT_THROW(folder.roll_back(1), net::Error);
+  EXPECT_EQ(folder.take(newest, true), Taken::swapped);
+  EXPECT_EQ(folder.current()->stamp.version, 3U);
+  folder.roll_back(2, {});
+  EXPECT_THROW(folder.roll_back(1, {}), net::Error);
   EXPECT_EQ(folder.take(generation(4, {"a"})), Taken::swapped);
   EXPECT_EQ(folder.current()->stamp.version, 4U);
 }
@@ -218,7 +222,7 @@
   Shelf shelf(place.path.string(), 3, false);
   auto leased = generation(1);
   leased.lease_ms = 60;
-  shelf.put(leased, net::Steady::now());
+  shelf.put(leased, false, net::Steady::now());
   EXPECT_FALSE(shelf.state().stale);
   const auto stale_after = [&](auto speak) {
     const auto end = net::Steady::now() + 150ms;
@@ -255,6 +259,8 @@
   EXPECT_EQ(send("GET", "/state?epoch=x", "").status, 400U);
   EXPECT_EQ(send("POST", "/rollback?version=x", "").status, 400U);
   EXPECT_EQ(send("POST", "/rollback?version=7", "").status, 409U);
+  EXPECT_EQ(send("POST", "/rollback?version=1", "{").status, 400U);
+  EXPECT_EQ(send("PUT", "/generation?recall", "{").status, 400U);
   const auto state = read_state(send("GET", "/state", "").body);
   EXPECT_EQ(state.applied, (Stamp{1, 1}));
   EXPECT_EQ(state.kept.size(), 1U);
--- a/tests/program/pushes_test.cpp
+++ b/tests/program/pushes_test.cpp
@@ -106,6 +106,26 @@
   EXPECT_EQ(pushes.next(4s)->holding->since, VersionNumber{1});
 }
 
+// A way back by hand stands, until it would send to somebody who is out since.
+TEST(Pushes, AWayBackIsRecalledWhenItNamesWhoIsOut) {
+  PushScene scene;
+  auto& pushes = scene.pushes;
+  pushes.ordered(1s, scene.proxy, holding_of(2, {1}), 1);
+  pushes.next(1s);
+  pushes.taken(1s, scene.proxy, VersionNumber{2});
+  pushes.out(1500ms, {ReplicaId{3}});
+  pushes.went_back(1500ms, scene.proxy, {ReplicaId{1}, ReplicaId{2}});
+  EXPECT_FALSE(pushes.next(1900ms));
+  // The newest does not name it, so nothing is ordered.
+  pushes.out(2100ms, {ReplicaId{2}, ReplicaId{3}});
+  const auto offer = pushes.next(2100ms);
+  ASSERT_TRUE(offer && offer->holding);
+  EXPECT_TRUE(offer->recall);
+  EXPECT_EQ(offer->holding->since, VersionNumber{2});
+  pushes.failed(2200ms, scene.proxy);
+  EXPECT_EQ(pushes.lost(4700ms), std::vector{scene.proxy});
+}
+
 TEST(Pushes, WhoFollowsAnotherIsGivenUpAtOnce) {
   PushScene scene;
   scene.pushes.ordered(1s, scene.proxy, holding_of(2, {1}), 1);
@@ -185,7 +205,7 @@
   bool take(const Claims& by, ProxyId proxy, std::uint64_t version) {
     const auto epoch = by.epoch(proxy);
     if (lies.any && (epoch < lies.epoch || (epoch == lies.epoch && by.owner() != lies.owner))) return false;
-    lies = {true, epoch, VersionNumber{version}, by.owner(), false};
+    lies = {true, epoch, VersionNumber{version}, by.owner(), false, {}};
     quiet = 0;
     return true;
   }
