--- a/src/net/threads.cpp
+++ b/src/net/threads.cpp
@@ -48,9 +48,15 @@
 
 Crew::Crew(const std::string& name, std::size_t threads, std::size_t most_waiting, std::size_t stack)
     : most_waiting_(most_waiting) {
-  for (std::size_t n = 0; n < threads; ++n)
-    threads_.emplace_back(
-        name, [this] { work(); }, stack);
+  try {
+    for (std::size_t n = 0; n < threads; ++n)
+      threads_.emplace_back(
+          name, [this] { work(); }, stack);
+  } catch (...) {
+    // Those that were had would wait for work for ever, and whoever joins them with them.
+    stop();
+    throw;
+  }
 }
 
 bool Crew::take(std::function<void()> job) {
--- a/src/net/threads.h
+++ b/src/net/threads.h
@@ -34,6 +34,7 @@
 // A fixed number of threads that work off jobs; no more jobs wait than stated.
 class Crew {
  public:
+  // Throws Error if not all threads can be had.
   Crew(const std::string& name, std::size_t threads, std::size_t most_waiting,
        std::size_t stack = kSmallStack);
   ~Crew() { stop(); }
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -2,6 +2,9 @@
 #include "http/http.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <thread>
 
@@ -87,5 +90,28 @@
   EXPECT_EQ(turned_away, 8U);
 }
 
+// Found on a machine that ran out of threads: a crew that could not be completed waited for itself for ever.
+TEST(Crew, ThatCannotBeHadSaysSo) {
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+  GTEST_SKIP() << "sanitizers need the address space that is withheld here";
+#endif
+  const pid_t child = ::fork();
+  ASSERT_GE(child, 0);
+  if (child == 0) {
+    ::alarm(10);
+    const rlimit some{std::size_t{1} << 30, std::size_t{1} << 30};
+    ::setrlimit(RLIMIT_AS, &some);
+    try {
+      net::Crew crew("many", 100, 1, std::size_t{64} << 20);
+    } catch (const net::Error&) {
+      ::_exit(0);
+    }
+    ::_exit(1);
+  }
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+}
+
 }  // namespace
 }  // namespace ospreypost::http
