The record: every call on the module with its orders, and an exact replay of it

Nobody could say afterwards why a governor ordered what it did, or what another build would have ordered. One tap between the live governor and the module now writes each call with its orders (protocol buffers, zstd blocks with a checksum, a bounded buffer and a thread of its own, rotation, a cap), by default and always; ospreypost replay plays it to this build, or with another configuration, and names the first order that differs.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -27,6 +27,14 @@
 // `whom`: a receiver's address; or a proxy, through its governor.
 int rollback(const std::string& whom, std::uint64_t version, const std::string& governor);
 
+struct ReplayOptions {
+  std::string record;   // a folder, or a file
+  std::string setting;  // another configuration; empty: the recorded one
+  bool all = false;     // every difference, not the first alone
+};
+// 3 if an order differs.
+int replay(const ReplayOptions& options);
+
 struct DayOptions {
   std::string path;
   std::string keep;  // a folder for what the day leaves behind; empty: nothing is kept
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,5 +1,5 @@
-// The program: `ospreypost serve|check-config|show|receive|rollback|day`. Exit status: 0 done, 1 it failed at
-// run time, 2 the command line or a file is at fault, 3 a day broke a rule.
+// The program: `ospreypost serve|check-config|show|receive|rollback|replay|day`. Exit status: 0 done, 1 it
+// failed at run time, 2 the command line or a file is at fault, 3 a day broke a rule, or a replay differs.
 #include <CLI/CLI.hpp>
 #include <iostream>
 
@@ -47,6 +47,12 @@
   rollback->add_option("--at", at, "where its governor takes reports, such as 127.0.0.1:4318");
   rollback->add_option("VERSION", version, "as `show generations` lists it")->required();
 
+  cli::ReplayOptions replaying;
+  auto* replay = app.add_subcommand("replay", "play a record to this build and compare what it orders");
+  replay->add_option("RECORD", replaying.record, "a folder of records, or one file")->required();
+  replay->add_option("--setting", replaying.setting, "with another configuration");
+  replay->add_flag("--all", replaying.all, "every difference, not the first alone");
+
   cli::DayOptions playing;
   auto* day = app.add_subcommand("day", "play a scripted day against a governor and judge it");
   day->add_option("FILE", playing.path, "the day (XML)")->required();
@@ -63,6 +69,7 @@
   }
   if (serve->parsed()) return cli::serve(config);
   if (check->parsed()) return cli::check_config(config);
+  if (replay->parsed()) return cli::replay(replaying);
   if (receive->parsed()) return cli::receive(receiving);
   if (rollback->parsed()) return cli::rollback(whom, version, at);
   if (showing.what == "generations") return cli::show_generations(showing.at, proxy);
--- /dev/null
+++ b/src/cli/replay.cpp
@@ -0,0 +1,52 @@
+#include "replay/replay.h"
+
+#include <cstdio>
+
+#include "cli/commands.h"
+#include "config/config.h"
+
+namespace ospreypost::cli {
+namespace {
+
+double seconds(Nanos time) { return std::chrono::duration<double>(time).count(); }
+
+}  // namespace
+
+int replay(const ReplayOptions& options) {
+  replay::Options playing;
+  Nanos from{};
+  bool begun = false;
+  playing.settings_of = [&](const std::string& recorded) {
+    const auto config = options.setting.empty() ? config::parse_config(recorded, "the recorded configuration")
+                                                : config::read_config(options.setting);
+    return std::pair(config::module_settings(config), config.seed);
+  };
+  const auto print = [&](const replay::Difference& difference) {
+    if (!begun) from = difference.at, begun = true;
+    std::printf("call %llu, %.6f s after the first difference: %s\n  recorded: %s\n  replayed: %s\n",
+                static_cast<unsigned long long>(difference.call), seconds(difference.at - from),
+                difference.made_by.c_str(),
+                difference.recorded.empty() ? "nothing" : difference.recorded.c_str(),
+                difference.replayed.empty() ? "nothing" : difference.replayed.c_str());
+  };
+  if (options.all) playing.differs = print;
+  const auto outcome = replay::replay(replay::files_of(options.record), playing);
+  if (outcome.first && !options.all) print(*outcome.first);
+  const auto count = [](std::uint64_t number) { return static_cast<unsigned long long>(number); };
+  std::printf("%llu calls on %llu governors over %.1f s, %llu orders, digest %016llx\n", count(outcome.calls),
+              count(outcome.governors), seconds(outcome.to - outcome.from), count(outcome.orders),
+              count(outcome.digest));
+  if (outcome.lost + outcome.damaged + outcome.unplayed > 0) {
+    std::printf(
+        "partial: %llu calls were not kept, %llu stretches are damaged, %llu calls after them not replayed\n",
+        count(outcome.lost), count(outcome.damaged), count(outcome.unplayed));
+  }
+  if (outcome.same()) {
+    std::printf("the orders are the same, byte for byte\n");
+    return 0;
+  }
+  std::printf("%llu orders differ\n", count(outcome.differing));
+  return 3;
+}
+
+}  // namespace ospreypost::cli
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -185,6 +185,23 @@
   return "other";
 }
 
+namespace {
+
+void read_record(const std::optional<Element>& element, Config& config) {
+  auto& record = config.record;
+  record.folder = config.name + ".record";
+  if (!element) return;
+  record.keep = element->yes("keep");
+  if (const auto folder = element->text("folder"); !folder.empty()) record.folder = folder;
+  record.most_bytes = static_cast<std::uint64_t>(element->number("most-mib")) << 20;
+  record.file_bytes = static_cast<std::uint64_t>(element->number("file-mib")) << 20;
+  record.file_age = element->time("file-age");
+  if (record.file_bytes == 0 || record.most_bytes < 2 * record.file_bytes)
+    element->fail("file-mib must be above 0, and at most half of most-mib");
+}
+
+}  // namespace
+
 Config parse_config(std::string_view text, const std::string& label) {
   const Document document(text, label, kGovernorSchema);
   const auto root = document.root();
@@ -208,15 +225,23 @@
   if (config.roll.every <= Nanos{}) roll.fail("every must be above 0");
   read_dns(root.child("dns"), config);
   if (const auto files = root.find_child("files")) read_files(*files, config.files);
+  read_record(root.find_child("record"), config);
+  config.text = text;
   if (const auto logging = root.find_child("logging"))
     config.logging = {logging->text("format") == "json", logging->text("level"), logging->text("path")};
-  // Proxies that pull take what waits for them when they ask, so the module needs not space its messages: the
-  // handouts keep the limit where the answers are made.
   return config;
 }
 
 Config read_config(const std::string& path) { return parse_config(read_file(path), path); }
 
+// Proxies that pull take what waits for them when they ask, so the module need not space its messages: the
+// handouts and the pushes keep that limit where messages are made, and a drain is never held up by it.
+Settings module_settings(const Config& config) {
+  auto settings = config.settings;
+  settings.messages_allowed = 0;
+  return settings;
+}
+
 std::optional<ProxyId> find_proxy(const Config& config, std::string_view name) {
   for (std::size_t p = 0; p < config.proxies.known.size(); ++p) {
     if (config.proxies.known[p].name == name) return ProxyId{static_cast<std::uint16_t>(p)};
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -62,6 +62,13 @@
   bool reader_confirms = true;
 };
 
+struct Record {
+  bool keep = true;
+  std::string folder;
+  std::uint64_t most_bytes = std::uint64_t{1} << 30, file_bytes = std::uint64_t{64} << 20;
+  Nanos file_age = std::chrono::hours(1);
+};
+
 struct Logging {
   bool json = false;
   std::string level = "info";
@@ -78,9 +85,14 @@
   RollFile roll;
   DnsFront dns;
   FilesFront files;
+  Record record;
   Logging logging;
+  std::string text;  // that it was read from
 };
 
+// As the module is to have them, in the program.
+Settings module_settings(const Config& config);
+
 // As written in configurations, reports and probes' answers.
 const char* name_of(LoadColumn column);
 
--- a/src/day/stage.cpp
+++ b/src/day/stage.cpp
@@ -177,6 +177,8 @@
     if (proxy.find("receiver")) proxy.set("receiver", couriers_.at(proxy.text("name"))->address().text());
     if (dns_of_.contains(proxy.text("name"))) proxy.set("vouched", "false");
   }
+  if (const auto record = root.find_child("record"))
+    record.value().set("folder", (roll_path_.parent_path() / ("record" + std::to_string(number))).string());
   if (const auto logging = root.find_child("logging"))
     logging->set("path", log_path_.string() + (number > 1 ? std::to_string(number) : ""));
   return document.text();
--- a/src/governor/live_governor.cpp
+++ b/src/governor/live_governor.cpp
@@ -11,16 +11,10 @@
 constexpr ReplicaId kNobody{~std::uint32_t{0}};  // stands for names that no list gave
 constexpr Nanos kSweep = 200ms;                  // between looks for clients that fell silent
 
-// Proxies that pull take what waits for them when they ask, so the module need not space its messages: the
-// handouts keep that limit where the answers are made, and a drain is never held up by it.
-Settings for_pulling(Settings settings) {
-  settings.messages_allowed = 0;
-  return settings;
-}
-
 }  // namespace
 
-LiveGovernor::LiveGovernor(const config::Config& config, World& world, Clock clock, book::Claims claims)
+LiveGovernor::LiveGovernor(const config::Config& config, World& world, Clock clock, book::Claims claims,
+                           record::Writer* record)
     : config_(config),
       world_(world),
       clock_(std::move(clock)),
@@ -42,8 +36,8 @@
   }
   {
     const std::lock_guard held(lock_);
-    governor_ = std::make_unique<Governor>(for_pulling(config.settings), config.seed, clock_(),
-                                           static_cast<Host&>(*this));
+    governor_ = std::make_unique<record::Tap>(config::module_settings(config), config.seed, clock_(),
+                                              static_cast<Host&>(*this), record, config.text);
   }
   timekeeper_ = net::Thread("timekeeper", [this] { keep_time(); });
 }
@@ -163,10 +157,13 @@
   const auto position = [](const std::vector<std::string>& names, const std::string& name) {
     return static_cast<std::uint16_t>(std::find(names.begin(), names.end(), name) - names.begin());
   };
-  call([&](Governor& governor, Nanos now) {
+  call([&](record::Tap& governor, Nanos now) {
+    const auto before = replicas_.size();
     note_places(taken);
     std::vector<ListEntry> entries;
     for (const auto& change : taken.changes) {
+      const auto id = replicas_.id_of(change.name);
+      if (static_cast<std::size_t>(id) >= before) governor.named(now, id, change.name);
       ListEntry entry;
       entry.replica = replicas_.id_of(change.name);
       entry.phase = change.phase;
@@ -184,17 +181,17 @@
 }
 
 void LiveGovernor::list_failed() {
-  call([](Governor& governor, Nanos now) { governor.list_failed(now); });
+  call([](record::Tap& governor, Nanos now) { governor.list_failed(now); });
 }
 
 // --- Reports
 
 void LiveGovernor::replica_summed(const ReplicaSum& sum) {
-  call([&](Governor& governor, Nanos now) { governor.replica_summed(now, sum); });
+  call([&](record::Tap& governor, Nanos now) { governor.replica_summed(now, sum); });
 }
 
 void LiveGovernor::demand_summed(ProxyId proxy, const Demand& demand) {
-  call([&](Governor& governor, Nanos now) { governor.demand_summed(now, proxy, demand); });
+  call([&](record::Tap& governor, Nanos now) { governor.demand_summed(now, proxy, demand); });
 }
 
 void LiveGovernor::reported(ProxyId proxy) {
@@ -203,7 +200,7 @@
 }
 
 void LiveGovernor::probe_answered(const ProbeAnswer& answer) {
-  call([&](Governor& governor, Nanos now) { governor.probe_answered(now, answer); });
+  call([&](record::Tap& governor, Nanos now) { governor.probe_answered(now, answer); });
 }
 
 // --- Fronts
@@ -219,7 +216,7 @@
 
 void LiveGovernor::settle(ProxyId proxy) {
   const auto& known = entry_of(proxy);
-  call([&](Governor& governor, Nanos now) {
+  call([&](record::Tap& governor, Nanos now) {
     const bool held = is_held(proxy);
     if (held == joined_.contains(proxy)) {
       // It was given up on and answered again before anybody here noticed: what stands is still to be sent.
@@ -268,8 +265,9 @@
     reached = handouts_.reached(now, proxy);
   }
   for (const auto& mark : reached) {
-    call(
-        [&](Governor& governor, Nanos at) { governor.orders_applied(at, mark.proxy, mark.mark, mark.took); });
+    call([&](record::Tap& governor, Nanos at) {
+      governor.orders_applied(at, mark.proxy, mark.mark, mark.took);
+    });
   }
   return told;
 }
--- a/src/governor/live_governor.h
+++ b/src/governor/live_governor.h
@@ -22,6 +22,7 @@
 #include "list/roll.h"
 #include "names/names.h"
 #include "net/threads.h"
+#include "record/tap.h"
 #include "rules.h"
 
 namespace ospreypost::governor {
@@ -49,8 +50,8 @@
  public:
   // The clock is monotonic and starts anywhere.
   using Clock = std::function<Nanos()>;
-  LiveGovernor(const config::Config& config, World& world, Clock clock,
-               book::Claims claims = {1, "governor"});
+  LiveGovernor(const config::Config& config, World& world, Clock clock, book::Claims claims = {1, "governor"},
+               record::Writer* record = nullptr);
   ~LiveGovernor() override;
   void stop();
 
@@ -122,7 +123,7 @@
 
   // The governor's lock: the module, its orders, its timers. Never held while anything is read or written.
   mutable std::mutex lock_;
-  std::unique_ptr<Governor> governor_;
+  std::unique_ptr<record::Tap> governor_;
   book::OrderBook book_;
   Timers timers_;
   std::vector<std::pair<MarkId, bool>> marks_;  // of the call being made
--- a/src/governor/service.cpp
+++ b/src/governor/service.cpp
@@ -27,7 +27,12 @@
   // No other process has this name and moment; where the clock went back, claims go above what they meet.
   const book::Claims claims(static_cast<std::uint64_t>(wall_now() / 1s),
                             config_.name + "." + std::to_string(wall_now().count()));
-  live_ = std::make_unique<LiveGovernor>(config_, static_cast<World&>(*this), now, claims);
+  if (config_.record.keep) {
+    record_ =
+        std::make_unique<record::Writer>(record::Keeping{config_.record.folder, config_.record.most_bytes,
+                                                         config_.record.file_bytes, config_.record.file_age});
+  }
+  live_ = std::make_unique<LiveGovernor>(config_, static_cast<World&>(*this), now, claims, record_.get());
   intake_ = std::make_unique<intake::Intake>(config_, static_cast<intake::Receiver&>(*this));
   responder_ = std::make_unique<dns::Responder>(config_, *live_);
   probers_ = std::make_unique<net::Crew>("prober", kProbers, kProbesWaiting);
@@ -53,6 +58,7 @@
   pusher_->stop();
   live_->stop();
   probers_->stop();
+  if (record_) record_->stop();
 }
 
 void Service::probe(ReplicaId replica, const net::Address& at) {
--- a/src/governor/service.h
+++ b/src/governor/service.h
@@ -11,6 +11,7 @@
 #include "governor/live_governor.h"
 #include "http/http.h"
 #include "intake/intake.h"
+#include "record/writer.h"
 #include "sources/roll_file.h"
 
 namespace spdlog {
@@ -50,6 +51,7 @@
 
   const config::Config config_;
   const std::shared_ptr<spdlog::logger> log_;
+  std::unique_ptr<record::Writer> record_;
   std::unique_ptr<LiveGovernor> live_;
   std::unique_ptr<intake::Intake> intake_;
   std::unique_ptr<dns::Responder> responder_;
--- a/src/program.cmake
+++ b/src/program.cmake
@@ -7,6 +7,8 @@
 find_package(Threads REQUIRED)
 pkg_check_modules(LDNS REQUIRED IMPORTED_TARGET ldns)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
+find_package(Protobuf REQUIRED)
 
 file(READ ${PROJECT_SOURCE_DIR}/schema/ospreypost.xsd OSPREYPOST_GOVERNOR_SCHEMA)
 file(READ ${PROJECT_SOURCE_DIR}/schema/day.xsd OSPREYPOST_DAY_SCHEMA)
@@ -37,14 +39,26 @@
   NEEDS ospreypost_book ospreypost_lifetime ospreypost_config PkgConfig::LDNS)
 ospreypost_package(files render.cpp generation.cpp folder.cpp receiver.cpp pusher.cpp
   NEEDS ospreypost_http ospreypost_config ospreypost_book ospreypost_lifetime nlohmann_json::nlohmann_json PkgConfig::XXHASH)
+# What the compiler of protocol buffers writes is not ours to warn about.
+add_custom_command(OUTPUT ${PROJECT_BINARY_DIR}/schemas/record.pb.cc ${PROJECT_BINARY_DIR}/schemas/record.pb.h
+  COMMAND protobuf::protoc --cpp_out=${PROJECT_BINARY_DIR}/schemas -I${PROJECT_SOURCE_DIR}/schema
+          ${PROJECT_SOURCE_DIR}/schema/record.proto
+  DEPENDS ${PROJECT_SOURCE_DIR}/schema/record.proto VERBATIM)
+add_library(ospreypost_record_schema STATIC ${PROJECT_BINARY_DIR}/schemas/record.pb.cc)
+target_compile_options(ospreypost_record_schema PRIVATE -w)
+target_include_directories(ospreypost_record_schema SYSTEM PUBLIC ${PROJECT_BINARY_DIR}/schemas)
+target_link_libraries(ospreypost_record_schema PUBLIC protobuf::libprotobuf)
+ospreypost_package(record blocks.cpp writer.cpp tap.cpp
+  NEEDS ospreypost_record_schema ospreypost_net ospreypost_rules PkgConfig::ZSTD PkgConfig::XXHASH)
+ospreypost_package(replay replay.cpp NEEDS ospreypost_record)
 ospreypost_package(governor live_governor.cpp status.cpp service.cpp
   NEEDS ospreypost_book ospreypost_lifetime ospreypost_list ospreypost_sources ospreypost_intake ospreypost_dns
-        ospreypost_files ospreypost_http spdlog::spdlog)
+        ospreypost_files ospreypost_record ospreypost_http spdlog::spdlog)
 ospreypost_package(judge judge.cpp NEEDS Threads::Threads)
 ospreypost_package(standin replica.cpp stub.cpp proxy.cpp tables.cpp courier.cpp resolver.cpp terminal.cpp
   NEEDS ospreypost_judge ospreypost_http ospreypost_otlp ospreypost_dns resolv)
 ospreypost_package(day script.cpp child.cpp stage.cpp run.cpp NEEDS ospreypost_standin ospreypost_config)
-ospreypost_package(cli logging.cpp serve.cpp show.cpp receive.cpp day.cpp NEEDS ospreypost_governor ospreypost_day CLI11::CLI11)
+ospreypost_package(cli logging.cpp replay.cpp serve.cpp show.cpp receive.cpp day.cpp NEEDS ospreypost_governor ospreypost_replay ospreypost_day CLI11::CLI11)
 
 add_executable(ospreypost src/cli/main.cpp)
 target_link_libraries(ospreypost PRIVATE ospreypost_cli)
--- /dev/null
+++ b/src/record/blocks.cpp
@@ -0,0 +1,98 @@
+#include "record/blocks.h"
+
+#include <xxhash.h>
+#include <zstd.h>
+
+#include <cstring>
+#include <vector>
+
+#include "net/socket.h"
+
+namespace ospreypost::record {
+namespace {
+
+constexpr std::string_view kFile = "OSPREC", kBlock = "BLK1";
+constexpr std::size_t kFileHead = 8, kBlockHead = 48;
+constexpr std::uint32_t kMostUnpacked = 16U << 20;  // bytes; no block of ours comes near
+constexpr int kLevel = 1;                           // the cheapest: records repeat themselves
+
+template <typename Number>
+void put(std::string& text, Number number) {
+  for (std::size_t n = 0; n < sizeof(Number); ++n)
+    text += static_cast<char>(static_cast<std::uint64_t>(number) >> (8 * n));
+}
+template <typename Number>
+Number get(std::string_view text, std::size_t at) {
+  std::uint64_t number = 0;
+  for (std::size_t n = 0; n < sizeof(Number); ++n)
+    number |= static_cast<std::uint64_t>(static_cast<unsigned char>(text[at + n])) << (8 * n);
+  return static_cast<Number>(number);
+}
+
+std::uint64_t sum_of(std::string_view head, std::string_view stored) {
+  return XXH3_64bits_withSeed(stored.data(), stored.size(), XXH3_64bits(head.data(), head.size()));
+}
+
+}  // namespace
+
+std::string file_head() {
+  std::string text(kFile);
+  put(text, kSchema);
+  return text;
+}
+
+std::string pack(const BlockHead& head, std::string_view payload) {
+  std::string stored(ZSTD_compressBound(payload.size()), '\0');
+  stored.resize(ZSTD_compress(stored.data(), stored.size(), payload.data(), payload.size(), kLevel));
+  std::string text(kBlock);
+  put(text, static_cast<std::uint32_t>(stored.size()));
+  put(text, static_cast<std::uint32_t>(payload.size()));
+  put(text, head.entries);
+  put(text, head.lost);
+  put(text, head.first.count());
+  put(text, head.last.count());
+  put(text, sum_of(text, stored));
+  return text + stored;
+}
+
+Blocks::Blocks(std::string_view file) : rest_(file) {
+  if (!file.starts_with(kFile) || file.size() < kFileHead) throw net::Error("that is no record");
+  const auto schema = get<std::uint16_t>(file, kFile.size());
+  if (schema > kSchema) {
+    throw net::Error("the record is of schema " + std::to_string(schema) + "; this program reads up to " +
+                     std::to_string(kSchema));
+  }
+  rest_.remove_prefix(kFileHead);
+}
+
+std::optional<Blocks::Found> Blocks::next() {
+  bool skipping = false;
+  while (!rest_.empty()) {
+    const auto at = rest_.find(kBlock);
+    if (at != 0 && !skipping) ++damaged_, skipping = true;
+    if (at == std::string_view::npos) break;
+    rest_.remove_prefix(at);
+    Found found;
+    if (rest_.size() >= kBlockHead) {
+      const auto stored_size = get<std::uint32_t>(rest_, 4), size = get<std::uint32_t>(rest_, 8);
+      found.head = {get<std::uint32_t>(rest_, 12), get<std::uint64_t>(rest_, 16),
+                    Nanos(get<std::int64_t>(rest_, 24)), Nanos(get<std::int64_t>(rest_, 32))};
+      const auto stored = rest_.substr(kBlockHead, stored_size);
+      const bool sound = stored.size() == stored_size && size <= kMostUnpacked &&
+                         sum_of(rest_.substr(0, 40), stored) == get<std::uint64_t>(rest_, 40);
+      if (sound) {
+        found.payload.resize(size);
+        if (ZSTD_decompress(found.payload.data(), size, stored.data(), stored.size()) == size) {
+          rest_.remove_prefix(kBlockHead + stored_size);
+          return found;
+        }
+      }
+    }
+    if (!skipping) ++damaged_, skipping = true;
+    rest_.remove_prefix(1);
+  }
+  rest_ = {};
+  return std::nullopt;
+}
+
+}  // namespace ospreypost::record
--- a/tests/program/support.h
+++ b/tests/program/support.h
@@ -30,6 +30,7 @@
   <reports listen="127.0.0.1:0" every="1 s" load="in-sums" columns="util"/>
   <roll path="/nonexistent/roll.json"/>
   <dns listen="127.0.0.1:0" apex="farm.example." server-name="ns.farm.example." answers-per-second="100000"/>
+  <record keep="false"/>
 </governor>)";
 }
 
