--- a/bench/governor.cpp
+++ b/bench/governor.cpp
@@ -2,7 +2,7 @@
 // sum a second from each proxy about each replica of its tables, how soon a drain shows in answers, and its
 // memory.
 //
-//   bench_governor REPLICAS PROXIES [SECONDS]
+//   bench_governor REPLICAS PROXIES [SECONDS] [record]
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -14,6 +14,7 @@
 
 #include "fleet.h"
 #include "governor/live_governor.h"
+#include "record/writer.h"
 
 namespace {
 
@@ -111,7 +112,12 @@
   const double seconds = argc > 3 ? std::atof(argv[3]) : 10;
   const auto config = bench::fleet_config(proxies);
   Quiet world;
-  governor::LiveGovernor live(config, world, now);
+  // With "record", all that is told and ordered is kept, as `serve` does.
+  std::unique_ptr<record::Writer> record;
+  const auto folder = std::filesystem::temp_directory_path() / "ospreypost-bench-record";
+  std::filesystem::remove_all(folder);
+  if (argc > 4) record = std::make_unique<record::Writer>(record::Keeping{folder.string()});
+  governor::LiveGovernor live(config, world, now, {1, "bench"}, record.get());
   list::Roll roll;
   auto listed = bench::fleet_roll(replicas, config);
   const auto wall = [] { return list::WallTime(now()); };
@@ -196,4 +202,13 @@
       "%.2f ms; resident %.0f MiB; lines waiting at most %.0f of %.0f\n",
       used / wall_took, at(shown, 0.5), at(shown, 1), resident_mib(), live.standing().counts.worst_waiting,
       config.settings.channel_most_waiting);
+  if (record) {
+    live.stop();
+    record->stop();
+    const auto counts = record->counts();
+    std::printf("recorded %llu calls in %llu bytes, %llu lost\n",
+                static_cast<unsigned long long>(counts.entries),
+                static_cast<unsigned long long>(counts.bytes), static_cast<unsigned long long>(counts.lost));
+    std::filesystem::remove_all(folder);
+  }
 }
--- /dev/null
+++ b/tests/program/record_test.cpp
@@ -0,0 +1,276 @@
+// Records: what a death, a flipped byte or a slow disk leaves of them, and that they are played back exactly.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <atomic>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include "record.pb.h"
+#include "record/tap.h"
+#include "record/writer.h"
+#include "replay/replay.h"
+
+namespace ospreypost::record {
+namespace {
+
+using namespace std::chrono_literals;
+namespace fs = std::filesystem;
+
+struct Place {
+  Place() {
+    auto pattern = (fs::temp_directory_path() / "ospreypost-record-XXXXXX").string();
+    path = ::mkdtemp(pattern.data());
+  }
+  ~Place() {
+    std::error_code ignored;
+    fs::remove_all(path, ignored);
+  }
+  fs::path path;
+};
+
+std::string text_of(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// Three blocks of one entry each.
+std::string three_blocks() {
+  auto text = file_head();
+  for (std::int64_t n = 1; n <= 3; ++n)
+    text += pack({1, 0, Nanos(n), Nanos(n)}, std::string(200, static_cast<char>('a' + n)));
+  return text;
+}
+
+std::vector<std::int64_t> found_in(const std::string& text, std::size_t& damaged) {
+  Blocks blocks(text);
+  std::vector<std::int64_t> found;
+  while (const auto block = blocks.next()) found.push_back(block->head.first.count());
+  damaged = blocks.damaged();
+  return found;
+}
+
+// Cut anywhere: all whole blocks are there, and no other.
+TEST(Blocks, AreReadUpToTheLastGoodOneOfATornFile) {
+  const auto whole = three_blocks();
+  const auto block = (whole.size() - file_head().size()) / 3;
+  for (std::size_t size = file_head().size(); size <= whole.size(); ++size) {
+    std::size_t damaged = 0;
+    const auto found = found_in(whole.substr(0, size), damaged);
+    EXPECT_EQ(found.size(), (size - file_head().size()) / block);
+    EXPECT_EQ(damaged, (size - file_head().size()) % block == 0 ? 0U : 1U);
+  }
+}
+
+// Flipped anywhere: that block is skipped, told, and the others are there.
+TEST(Blocks, SkipWhatIsDamagedInTheMiddle) {
+  const auto whole = three_blocks();
+  const auto block = (whole.size() - file_head().size()) / 3;
+  for (std::size_t at = file_head().size(); at < whole.size(); ++at) {
+    auto flipped = whole;
+    flipped[at] = static_cast<char>(flipped[at] ^ 0x10);
+    std::size_t damaged = 0;
+    auto expected = std::vector<std::int64_t>{1, 2, 3};
+    expected.erase(expected.begin() + static_cast<std::ptrdiff_t>((at - file_head().size()) / block));
+    EXPECT_EQ(found_in(flipped, damaged), expected) << at;
+    EXPECT_EQ(damaged, 1U);
+  }
+}
+
+TEST(Blocks, OfANewerSchemaAreRefusedPlainly) {
+  auto text = three_blocks();
+  text[6] = static_cast<char>(kSchema + 1);
+  try {
+    Blocks blocks(text);
+    FAIL();
+  } catch (const net::Error& error) {
+    EXPECT_STREQ(error.what(), "the record is of schema 2; this program reads up to 1");
+  }
+  EXPECT_THROW(Blocks("<governor/>"), net::Error);
+}
+
+TEST(Writer, NeverWaitsForTheDiskAndSaysWhatIsLost) {
+  Place place;
+  std::atomic<bool> stuck = true;
+  const std::string entry(8000, 'x');
+  constexpr std::uint64_t handed = 2000;
+  {
+    Writer writer({place.path.string()}, [&] {
+      while (stuck) std::this_thread::sleep_for(1ms);
+    });
+    for (std::uint64_t n = 0; n < handed; ++n) writer.append(Nanos(n), entry);
+    EXPECT_GT(writer.counts().lost, 0U);
+    stuck = false;
+    writer.stop();
+  }
+  std::uint64_t kept = 0, lost = 0;
+  for (const auto& file : replay::files_of(place.path.string())) {
+    const auto text = text_of(file);
+    Blocks blocks(text);
+    while (const auto block = blocks.next()) kept += block->head.entries, lost += block->head.lost;
+  }
+  EXPECT_GT(kept, 0U);
+  // What was lost at the very end has no block after it.
+  EXPECT_LE(kept + lost, handed);
+  EXPECT_GT(lost + kept, handed / 2);
+}
+
+TEST(Writer, KeepsNoMoreThanItMay) {
+  Place place;
+  std::mt19937 chance(7);
+  {
+    Writer writer({place.path.string(), 400'000, 100'000, 1h});
+    for (int n = 0; n < 4000; ++n) {
+      std::string entry(500, ' ');
+      for (auto& c : entry) c = static_cast<char>(chance());
+      writer.append(Nanos(n), entry);
+      if (n % 100 == 0) std::this_thread::sleep_for(1ms);
+    }
+  }
+  std::uint64_t bytes = 0;
+  for (const auto& entry : fs::directory_iterator(place.path)) bytes += entry.file_size();
+  EXPECT_LE(bytes, 400'000U);
+  EXPECT_GT(bytes, 200'000U);
+}
+
+// --- Replay
+
+class Nobody : public Host {
+ public:
+  void set_line(TableId, ReplicaId, double) override {}
+  void clear_table(TableId) override {}
+  void bind(ProxyId, TableId, ClassMask) override {}
+  void withdraw(ReplicaId, bool) override {}
+  void set_level(TableId, ClassMask, double, Retry) override {}
+  void mark(MarkId, bool) override {}
+  void arm(Nanos, TimerId timer) override { armed.push_back(timer); }
+  void watch_list(bool) override {}
+  void look_up_list() override {}
+  void probe(ReplicaId) override {}
+  void tell(std::optional<PeerId>, std::string_view) override {}
+  void log(std::string_view) override {}
+  std::vector<TimerId> armed;
+};
+
+Settings settings() {
+  Settings made;
+  made.classes.resize(1);
+  made.classes[0].target_time = 1s;
+  made.classes[0].abandon_time = 2s;
+  made.zones = 2;
+  made.proxies = 3;
+  made.connections_least = 100;
+  made.report_every = 1s;
+  made.drain_grace = 3s;
+  made.bare_limit = 5s;
+  made.channel_lines_per_second = 1000;
+  made.channel_most_waiting = 1000;
+  made.cold_share = 0.25;
+  made.cold_time = 8s;
+  made.fall_multiple = 2.5;
+  made.fall_time = 3s;
+  return made;
+}
+
+replay::Options exact() {
+  replay::Options options;
+  options.settings_of = [](const std::string&) { return std::pair(settings(), std::uint64_t{5}); };
+  return options;
+}
+
+// Lists, sums, joins and timers in any order, late ones too; then the same again from the record.
+RC_GTEST_PROP(Replay, OrdersTheSame, ()) {
+  Place place;
+  {
+    Writer writer({place.path.string()});
+    Nobody host;
+    Nanos now = 1s;
+    Tap tap(settings(), 5, now, host, &writer, "x");
+    std::set<std::uint16_t> joined;
+    for (int n = *rc::gen::inRange(1, 80); n > 0; --n) {
+      now += std::chrono::milliseconds(*rc::gen::inRange(0, 900));
+      const ReplicaId replica{*rc::gen::inRange<std::uint32_t>(0, 6)};
+      const auto proxy = *rc::gen::inRange<std::uint16_t>(0, 3);
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+          tap.list_received(now, ListKind::changes,
+                            {{replica,
+                              ZoneId{static_cast<std::uint16_t>(proxy % 2)},
+                              {},
+                              {},
+                              *rc::gen::element(Phase::ready, Phase::draining, Phase::gone),
+                              1,
+                              now}});
+          break;
+        case 1:
+          if (joined.insert(proxy).second) {
+            tap.proxy_joined(now, ProxyId{proxy}, ZoneId{static_cast<std::uint16_t>(proxy % 2)}, 10, true);
+          } else {
+            joined.erase(proxy);
+            tap.proxy_left(now, ProxyId{proxy});
+          }
+          break;
+        case 2:
+          tap.replica_summed(
+              now, {ZoneId{0}, replica, 10, *rc::gen::inRange<std::uint32_t>(0, 10), 200ms, 1s, {}});
+          break;
+        case 3:
+          tap.demand_summed(now, ProxyId{proxy}, {ClassId{0}, 20, 2, 1s});
+          break;
+        default:
+          if (host.armed.empty()) break;
+          tap.timer_due(now, host.armed.back());
+          host.armed.pop_back();
+      }
+    }
+  }
+  const auto files = replay::files_of(place.path.string());
+  const auto outcome = replay::replay(files, exact());
+  RC_ASSERT(outcome.same());
+  RC_ASSERT(outcome.governors == 1U);
+  RC_ASSERT(outcome.unplayed == 0U);
+  RC_ASSERT(replay::replay(files, exact()).digest == outcome.digest);
+}
+
+// A record in which an order was another: the replay names it.
+TEST(Replay, NamesTheFirstDifferenceAndStopsAtAGap) {
+  Place place;
+  const auto file = (place.path / "a.rec").string();
+  kept::Block block;
+  auto& begin = *block.add_entries();
+  begin.set_at(1);
+  begin.mutable_begin()->set_configuration("x");
+  {
+    Nobody host;
+    Writer writer({(place.path / "w").string()});
+    Tap tap(settings(), 5, Nanos(1), host, &writer, "x");
+  }
+  const auto recorded = text_of(replay::files_of((place.path / "w").string()).front());
+  Blocks blocks(recorded);
+  kept::Block whole;
+  ASSERT_TRUE(whole.ParseFromString(blocks.next()->payload));
+  whole.mutable_entries(0)->add_orders()->set_probe(77);
+  const auto framed = [&](std::uint64_t lost) {
+    return pack({1, lost, Nanos(1), Nanos(1)}, whole.SerializeAsString());
+  };
+  kept::Block after;
+  after.add_entries()->set_at(2);
+  after.mutable_entries(0)->set_list_failed(true);
+  std::ofstream(file, std::ios::binary)
+      << file_head() << framed(0) << pack({1, 9, Nanos(2), Nanos(2)}, after.SerializeAsString());
+  const auto outcome = replay::replay({file}, exact());
+  EXPECT_EQ(outcome.differing, 1U);
+  ASSERT_TRUE(outcome.first);
+  EXPECT_EQ(outcome.first->recorded, "probe: 77");
+  EXPECT_EQ(outcome.first->replayed, "");
+  EXPECT_EQ(outcome.lost, 9U);
+  EXPECT_EQ(outcome.unplayed, 1U);
+}
+
+}  // namespace
+}  // namespace ospreypost::record
