Who waits for the first token gets it; a record file without a head is a torn one

Before the first push it is now taken as it came. A record file that a full disk left empty made the replay refuse the whole folder; it counts as damaged and the rest is replayed.

--- a/src/book/pushes.cpp
+++ b/src/book/pushes.cpp
@@ -44,7 +44,9 @@
   const auto is = [&](const std::shared_ptr<const Holding>& holding) {
     return version ? holding && holding->since == *version : !holding;
   };
-  if (proxy.joined && (is(proxy.given) || is(proxy.sent))) {
+  // Before the first push it goes by what it came with, and is waited for like that.
+  const bool untouched = !proxy.given && !proxy.sent;
+  if (proxy.joined && (untouched || is(proxy.given) || is(proxy.sent))) {
     taken(now, id, {});
     return false;
   }
--- a/src/record/blocks.cpp
+++ b/src/record/blocks.cpp
@@ -56,6 +56,12 @@
 }
 
 Blocks::Blocks(std::string_view file) : rest_(file) {
+  if (file.size() < kFileHead && file_head().starts_with(file)) {
+    // A disk that was full, or a death, before the head was written.
+    rest_ = {};
+    damaged_ = 1;
+    return;
+  }
   if (!file.starts_with(kFile) || file.size() < kFileHead) throw net::Error("that is no record");
   const auto schema = get<std::uint16_t>(file, kFile.size());
   if (schema > kSchema) {
--- a/tests/program/pushes_test.cpp
+++ b/tests/program/pushes_test.cpp
@@ -18,6 +18,8 @@
 using namespace std::chrono_literals;
 
 constexpr PushLimits kLimits{2, 1000, 12, 10s, 2500ms, 1s};
+// Signs of life more often than tokens come.
+constexpr PushLimits kLively{2, 1000, 12, 10s, 2500ms, 250ms};
 
 std::shared_ptr<const Holding> holding_of(std::uint64_t since,
                                           std::initializer_list<std::uint32_t> replicas) {
@@ -126,6 +128,25 @@
   EXPECT_EQ(pushes.lost(4700ms), std::vector{scene.proxy});
 }
 
+// It came with a table of unknown make, and waits for a token: signs of life meanwhile do not put that off.
+TEST(Pushes, WhoWaitsForTheFirstTokenGetsIt) {
+  Pushes pushes(kLively);
+  const ProxyId proxy{1};
+  pushes.introduce(0s, proxy);
+  pushes.next(0s);
+  pushes.joined(0s, proxy, false);
+  pushes.ordered(0s, proxy, holding_of(9, {1}), 1);
+  Nanos now = 0s;
+  for (; now < 2s; now += 20ms) {
+    const auto offer = pushes.next(now);
+    if (!offer) continue;
+    if (offer->holding) break;
+    pushes.met(now, proxy, VersionNumber{4});
+  }
+  EXPECT_LT(now, 1200ms);
+  EXPECT_GT(now, 500ms);
+}
+
 // Governors that die and start again each second know nothing of each other's messages.
 TEST(Pushes, ManyLivesTogetherKeepTheMessages) {
   const ProxyId proxy{1};
--- a/tests/program/record_test.cpp
+++ b/tests/program/record_test.cpp
@@ -92,6 +92,9 @@
     EXPECT_STREQ(error.what(), "the record is of schema 2; this program reads up to 1");
   }
   EXPECT_THROW(Blocks("<governor/>"), net::Error);
+  std::size_t damaged = 0;
+  EXPECT_TRUE(found_in("", damaged).empty());
+  EXPECT_EQ(damaged, 1U);
 }
 
 TEST(Writer, NeverWaitsForTheDiskAndSaysWhatIsLost) {
