--- a/bench/governor.cpp
+++ b/bench/governor.cpp
@@ -54,19 +54,8 @@
 
 // The module alone, with a host that drops its orders: what the same sums cost without book, lock and
 // versions.
-struct Deaf : Host {
-  void set_line(TableId, ReplicaId, double) override {}
-  void clear_table(TableId) override {}
-  void bind(ProxyId, TableId, ClassMask) override {}
-  void withdraw(ReplicaId, bool) override {}
-  void set_level(TableId, ClassMask, double, Retry) override {}
-  void mark(MarkId, bool) override {}
+struct Deaf : test::DeafHost {
   void arm(Nanos from_now, TimerId timer) override { due.emplace_back(at + from_now, timer); }
-  void watch_list(bool) override {}
-  void look_up_list() override {}
-  void probe(ReplicaId) override {}
-  void tell(std::optional<PeerId>, std::string_view) override {}
-  void log(std::string_view) override {}
   Nanos at{};
   std::vector<std::pair<Nanos, TimerId>> due;
 };
--- a/src/day/run.cpp
+++ b/src/day/run.cpp
@@ -182,6 +182,13 @@
       stage_->replica(name).start(true);
       roll.list(name, judge::Phase::ready, true);
     };
+    // Something that holds from its beginning to its end.
+    const auto each = [&](const std::string& begins, const std::string& ends, auto hold) {
+      for (const auto& name : trouble.whom) {
+        add(trouble.at, begins + name, [hold, name] { hold(name, true); });
+        add(end, ends + name, [hold, name] { hold(name, false); });
+      }
+    };
     switch (trouble.kind) {
       case TroubleKind::crash:
         for (const auto& name : trouble.whom) {
@@ -202,46 +209,31 @@
         }
         return;
       case TroubleKind::cut:
-        for (const auto& name : trouble.whom) {
-          add(trouble.at, "cut " + name, [this, name] { stage_->cut(name, true); });
-          add(end, "whole again " + name, [this, name] { stage_->cut(name, false); });
-        }
+        each("cut ", "whole again ", [this](const auto& name, bool cut) { stage_->cut(name, cut); });
         return;
       case TroubleKind::receiver_killed:
-        for (const auto& name : trouble.whom) {
-          add(trouble.at, "receiver killed " + name, [this, name] { stage_->kill_receiver(name); });
-          add(end, "receiver starts " + name,
-              [this, name] { stage_->start_receiver(options_.program, name); });
-        }
+        each("receiver killed ", "receiver starts ", [this](const auto& name, bool killed) {
+          killed ? stage_->kill_receiver(name) : stage_->start_receiver(options_.program, name);
+        });
         return;
       case TroubleKind::push_fault:
-        for (const auto& name : trouble.whom) {
-          add(trouble.at, "pushes " + trouble.becomes + " " + name,
-              [this, name, carriage = carriage_of(trouble.becomes), by = trouble.second] {
-                stage_->push_fault(name, carriage, by);
-              });
-          add(end, "pushes prompt " + name,
-              [this, name] { stage_->push_fault(name, standin::Carriage::prompt, Nanos{}); });
-        }
+        each("pushes " + trouble.becomes + " ", "pushes prompt ",
+             [this, carriage = carriage_of(trouble.becomes), by = trouble.second](const auto& name,
+                                                                                  bool faulty) {
+               stage_->push_fault(name, faulty ? carriage : standin::Carriage::prompt, faulty ? by : Nanos{});
+             });
         return;
       case TroubleKind::deaf:
-        for (const auto& name : trouble.whom) {
-          add(trouble.at, "deaf " + name, [this, name] { stage_->be_deaf(name, true); });
-          add(end, "reads again " + name, [this, name] { stage_->be_deaf(name, false); });
-        }
+        each("deaf ", "reads again ", [this](const auto& name, bool deaf) { stage_->be_deaf(name, deaf); });
         return;
       case TroubleKind::way_back:
         for (const auto& name : trouble.whom)
           add(trouble.at, "way back " + name, [this, name] { go_back(name); });
         return;
       case TroubleKind::disk_full:
-        for (const auto& name : trouble.whom) {
-          const auto fill = [this, name](bool full) {
-            if (!stage_->fill_disk(name, full) && governor_) governor_->fill_disk(full);
-          };
-          add(trouble.at, "disk full " + name, [fill] { fill(true); });
-          add(end, "room again " + name, [fill] { fill(false); });
-        }
+        each("disk full ", "room again ", [this](const auto& name, bool full) {
+          if (!stage_->fill_disk(name, full) && governor_) governor_->fill_disk(full);
+        });
         return;
       case TroubleKind::second_governor:
         add(trouble.at, "second governor starts", [this] {
@@ -265,12 +257,10 @@
       default:
         break;
     }
-    const auto fault = fault_of(trouble.kind);
-    for (const auto& name : trouble.whom) {
-      add(trouble.at, trouble.text + " " + name,
-          [this, name, fault, factor = trouble.factor] { stage_->replica(name).suffer(fault, factor); });
-      add(end, "well again " + name, [this, name] { stage_->replica(name).suffer(standin::Fault::none, 1); });
-    }
+    each(trouble.text + " ", "well again ",
+         [this, fault = fault_of(trouble.kind), factor = trouble.factor](const auto& name, bool suffers) {
+           stage_->replica(name).suffer(suffers ? fault : standin::Fault::none, suffers ? factor : 1);
+         });
   }
 
   static standin::Fault fault_of(TroubleKind kind) {
--- a/src/day/stage.cpp
+++ b/src/day/stage.cpp
@@ -13,7 +13,7 @@
 constexpr int kReplicas = 1, kProxies = 2, kResolvers = 3, kReceivers = 4, kCouriers = 5;
 constexpr std::uint64_t kTerminalIds = 1'000'000'000;
 
-Nanos now() { return Stage::now(); }
+Nanos now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 
 double wall_seconds() {
   return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -223,15 +223,17 @@
   receivers_[proxy] = std::make_unique<Child>(
       program, std::vector<std::string>{"receive", "--listen", receivers_at_.at(proxy).text(), "--folder",
                                         folders_.at(proxy)});
-  if (again) trace_.add(judge::Cut{now(), proxy, false});
+  if (again) note_cut(proxy, false);
 }
 
 // Nobody can bring the proxy anything until it is back.
 void Stage::kill_receiver(const std::string& proxy) {
-  trace_.add(judge::Cut{now(), proxy, true});
+  note_cut(proxy, true);
   receivers_.at(proxy)->kill();
 }
 
+void Stage::note_cut(const std::string& proxy, bool cut) { trace_.add(judge::Cut{now(), proxy, cut}); }
+
 void Stage::push_fault(const std::string& proxy, standin::Carriage carriage, Nanos by) {
   using standin::Carriage;
   couriers_.at(proxy)->carry(carriage, by);
@@ -257,7 +259,7 @@
   auto reach = reach_of(name);
   reach.cut = cut;
   proxies_.at(name)->reach(reach);
-  trace_.add(judge::Cut{now(), name, cut});
+  note_cut(name, cut);
 }
 
 }  // namespace ospreypost::day
--- a/src/day/stage.h
+++ b/src/day/stage.h
@@ -70,7 +70,6 @@
   standin::Proxy& proxy(const std::string& name) { return *proxies_.at(name); }
   standin::Replica& replica(const std::string& name) { return *replicas_.at(name); }
   RollWriter& roll() { return roll_; }
-  static Nanos now() { return std::chrono::steady_clock::now().time_since_epoch(); }
   net::Address dns() const { return block_.address(0, 1, 5300); }
   net::Address reports() const { return block_.address(0, 1, 4318); }
   void cut(const std::string& proxy, bool cut);
@@ -83,10 +82,10 @@
   void be_deaf(const std::string& proxy, bool deaf);
   // False if no receiver writes that proxy's folder.
   bool fill_disk(const std::string& proxy, bool full);
-  // For what keeps the governor from reaching a proxy.
-  void note_cut(const std::string& proxy, bool cut) { trace_.add(judge::Cut{now(), proxy, cut}); }
 
  private:
+  // For what keeps the governor from reaching a proxy.
+  void note_cut(const std::string& proxy, bool cut);
   standin::Reach reach_of(const std::string& proxy) const;
 
   const config::Config& config_;
--- a/src/files/receiver.cpp
+++ b/src/files/receiver.cpp
@@ -120,18 +120,17 @@
 State Shelf::state() {
   const std::lock_guard held(lock_);
   State state;
+  if (const auto newest = folder_.newest_owned()) state.newest = *newest, state.any = true;
   try {
     if (const auto current = folder_.current()) {
       state.stored = current->stamp;
       state.any = true;
-      if (const auto newest = folder_.newest_owned(); newest && newest->stamp != current->stamp)
-        state.instead = current->names;
+      if (current->stamp != state.newest.stamp) state.instead = current->names;
     }
   } catch (const net::Error&) {
     state.any = true;  // something lies there, and may be gone by
   }
   state.applied = folder_.applied().value_or(Stamp{});
-  if (const auto newest = folder_.newest_owned()) state.newest = *newest, state.any = true;
   state.stale = is_stale();
   state.kept = folder_.kept();
   return state;
--- a/src/governor/live_governor.cpp
+++ b/src/governor/live_governor.cpp
@@ -62,6 +62,8 @@
 }
 
 void LiveGovernor::publish(Nanos now) {
+  const bool out_changed = std::exchange(out_changed_, false);
+  if (out_changed) publish_out(now);
   const auto published = book_.publish(now);
   if (published) {
     const std::lock_guard held(handouts_lock_);
@@ -74,16 +76,6 @@
       }
     }
   }
-  const bool out_changed = std::exchange(out_changed_, false);
-  if (out_changed) {
-    std::set<ReplicaId> out{kNobody};
-    for (std::size_t n = 0; n < phases_.size(); ++n) {
-      const ReplicaId id{static_cast<std::uint32_t>(n)};
-      if (is_out(id)) out.insert(id);
-    }
-    const std::lock_guard held(handouts_lock_);
-    pushes_.out(now, std::move(out));
-  }
   if (auto* pusher = pusher_.load(); pusher && (published || out_changed)) pusher->something_ordered();
   const auto standing = published ? published->version : version_;
   if (published) {
@@ -101,6 +93,24 @@
   marks_.clear();
 }
 
+// Whom nobody may send to now: withdrawn, draining or gone. Goes with every push, for what is kept there.
+void LiveGovernor::publish_out(Nanos now) {
+  std::set<ReplicaId> out{kNobody};
+  std::vector<std::string> names;
+  for (std::size_t n = 0; n < phases_.size(); ++n) {
+    const ReplicaId id{static_cast<std::uint32_t>(n)};
+    if (phases_[n] == Phase::ready && !withdrawn_.contains(id)) continue;
+    out.insert(id);
+    names.push_back(directory_->place(id).name);
+  }
+  {
+    const std::lock_guard held(shared_lock_);
+    out_ = std::move(names);
+  }
+  const std::lock_guard held(handouts_lock_);
+  pushes_.out(now, std::move(out));
+}
+
 void LiveGovernor::keep_time() {
   std::unique_lock held(lock_);
   Nanos sweep = clock_() + kSweep;
@@ -148,9 +158,9 @@
     if (change.backend) place.address = change.backend->address, place.zone = change.backend->zone;
     phases_[at] = change.phase;
   }
+  out_changed_ = true;
   const std::lock_guard held(shared_lock_);
   directory_ = std::move(next);
-  note_out();
 }
 
 void LiveGovernor::list_taken(const list::Roll::Taken& taken) {
@@ -361,22 +371,30 @@
   return out_;
 }
 
+// False if it goes on as ours; else it joins or leaves by what was met. With the handouts' lock held.
+bool LiveGovernor::changes_hands(Nanos now, ProxyId proxy, const book::Met& met) {
+  switch (claims_.met(proxy, met)) {
+    case book::Claims::Standing::ours:
+      break;
+    case book::Claims::Standing::claimed:
+      pushes_.joined(now, proxy, !met.any);
+      return true;
+    case book::Claims::Standing::theirs:
+      pushes_.refused(now, proxy);
+      note_fault(proxy, "it follows " + met.owner);
+      return true;
+  }
+  return false;
+}
+
 void LiveGovernor::push_refused(ProxyId proxy, const book::Met& met) {
   {
     const std::lock_guard held(handouts_lock_);
     const auto now = clock_();
-    switch (claims_.met(proxy, met)) {
-      case book::Claims::Standing::ours:
-        pushes_.failed(now, proxy);
-        note_fault(proxy, "it holds something newer");
-        return;
-      case book::Claims::Standing::claimed:
-        pushes_.joined(now, proxy, !met.any);
-        break;
-      case book::Claims::Standing::theirs:
-        pushes_.refused(now, proxy);
-        note_fault(proxy, "it follows " + met.owner);
-        break;
+    if (!changes_hands(now, proxy, met)) {
+      pushes_.failed(now, proxy);
+      note_fault(proxy, "it holds something newer");
+      return;
     }
   }
   settle(proxy);
@@ -386,18 +404,10 @@
   {
     const std::lock_guard held(handouts_lock_);
     const auto now = clock_();
-    switch (claims_.met(proxy, met)) {
-      case book::Claims::Standing::ours:
-        if (pushes_.met(now, proxy, met.any ? std::optional(met.version) : std::nullopt)) break;
-        note_way_back(now, proxy, met.instead);
-        return;
-      case book::Claims::Standing::claimed:
-        pushes_.joined(now, proxy, !met.any);
-        break;
-      case book::Claims::Standing::theirs:
-        pushes_.refused(now, proxy);
-        note_fault(proxy, "it follows " + met.owner);
-        break;
+    const auto version = met.any ? std::optional(met.version) : std::nullopt;
+    if (!changes_hands(now, proxy, met) && !pushes_.met(now, proxy, version)) {
+      note_way_back(now, proxy, met.instead);
+      return;
     }
   }
   settle(proxy);
@@ -448,18 +458,7 @@
 void LiveGovernor::withdraw(ReplicaId replica, bool out) {
   book_.withdraw(replica, out);
   out ? void(withdrawn_.insert(replica)) : void(withdrawn_.erase(replica));
-  const std::lock_guard held(shared_lock_);
-  note_out();
-}
-
-// Whom nobody may send to now: withdrawn, draining or gone. Goes with every push, for what is kept there.
-void LiveGovernor::note_out() {
-  out_.clear();
   out_changed_ = true;
-  for (std::size_t n = 0; n < phases_.size(); ++n) {
-    const ReplicaId id{static_cast<std::uint32_t>(n)};
-    if (is_out(id)) out_.push_back(directory_->place(id).name);
-  }
 }
 void LiveGovernor::set_level(TableId table, ClassMask classes, double level, Retry retry) {
   book_.set_level(table, classes, level, retry);
--- a/src/governor/live_governor.h
+++ b/src/governor/live_governor.h
@@ -101,6 +101,7 @@
   template <typename Call>
   void call(Call made);
   void publish(Nanos now);
+  void publish_out(Nanos now);
   // Brings the module's view of who has joined up to that of the clients, whoever was faster to change it.
   void settle(ProxyId proxy);
   bool is_held(ProxyId proxy) const;
@@ -108,11 +109,8 @@
     return config_.proxies.known[static_cast<std::size_t>(proxy)];
   }
   void note_places(const list::Roll::Taken& taken);
-  void note_out();
+  bool changes_hands(Nanos now, ProxyId proxy, const book::Met& met);
   void note_way_back(Nanos now, ProxyId proxy, const std::vector<std::string>& instead);
-  bool is_out(ReplicaId id) const {
-    return phases_[static_cast<std::size_t>(id)] != Phase::ready || withdrawn_.contains(id);
-  }
   void note_fault(ProxyId proxy, const std::string& why);
   void keep_time();
   std::vector<front::Entry> entries_for(std::optional<ZoneId> zone, std::optional<ProxyId> but) const;
--- a/src/program.cmake
+++ b/src/program.cmake
@@ -48,7 +48,7 @@
 target_compile_options(ospreypost_record_schema PRIVATE -w)
 target_include_directories(ospreypost_record_schema SYSTEM PUBLIC ${PROJECT_BINARY_DIR}/schemas)
 target_link_libraries(ospreypost_record_schema PUBLIC protobuf::libprotobuf)
-ospreypost_package(record blocks.cpp writer.cpp tap.cpp
+ospreypost_package(record blocks.cpp writer.cpp orders.cpp tap.cpp
   NEEDS ospreypost_record_schema ospreypost_net ospreypost_rules PkgConfig::ZSTD PkgConfig::XXHASH)
 ospreypost_package(replay replay.cpp NEEDS ospreypost_record)
 ospreypost_package(governor live_governor.cpp status.cpp service.cpp
--- a/src/record/tap.cpp
+++ b/src/record/tap.cpp
@@ -33,7 +33,7 @@
 
 Tap::Tap(const Settings& settings, std::uint64_t seed, Nanos now, Host& host, Writer* writer,
          const std::string& configuration)
-    : host_(host), writer_(writer), entry_(std::make_unique<Entry>()) {
+    : host_(host), writer_(writer), entry_(std::make_unique<Entry>()), notes_(*entry_) {
   call(
       now,
       [&](Entry& entry) {
@@ -167,69 +167,51 @@
 // --- Orders
 
 void Tap::set_line(TableId table, ReplicaId replica, double weight) {
-  auto& to = *entry_->add_orders()->mutable_set_line();
-  to.set_table(number(table));
-  to.set_replica(number(replica));
-  to.set_weight(weight);
+  notes_.set_line(table, replica, weight);
   host_.set_line(table, replica, weight);
 }
 void Tap::clear_table(TableId table) {
-  entry_->add_orders()->set_clear_table(number(table));
+  notes_.clear_table(table);
   host_.clear_table(table);
 }
 void Tap::bind(ProxyId proxy, TableId table, ClassMask classes) {
-  auto& to = *entry_->add_orders()->mutable_bind();
-  to.set_proxy(number(proxy));
-  to.set_table(number(table));
-  to.set_classes(classes);
+  notes_.bind(proxy, table, classes);
   host_.bind(proxy, table, classes);
 }
 void Tap::withdraw(ReplicaId replica, bool out) {
-  auto& to = *entry_->add_orders()->mutable_withdraw();
-  to.set_replica(number(replica));
-  to.set_out(out);
+  notes_.withdraw(replica, out);
   host_.withdraw(replica, out);
 }
 void Tap::set_level(TableId table, ClassMask classes, double level, Retry retry) {
-  auto& to = *entry_->add_orders()->mutable_set_level();
-  to.set_table(number(table));
-  to.set_classes(classes);
-  to.set_level(level);
-  to.set_retry(number(retry));
+  notes_.set_level(table, classes, level, retry);
   host_.set_level(table, classes, level, retry);
 }
 void Tap::mark(MarkId mark, bool reach_all) {
-  auto& to = *entry_->add_orders()->mutable_mark();
-  to.set_mark(number(mark));
-  to.set_reach_all(reach_all);
+  notes_.mark(mark, reach_all);
   host_.mark(mark, reach_all);
 }
 void Tap::arm(Nanos from_now, TimerId timer) {
-  auto& to = *entry_->add_orders()->mutable_arm();
-  to.set_from_now(from_now.count());
-  to.set_timer(number(timer));
+  notes_.arm(from_now, timer);
   host_.arm(from_now, timer);
 }
 void Tap::watch_list(bool on) {
-  entry_->add_orders()->set_watch_list(on);
+  notes_.watch_list(on);
   host_.watch_list(on);
 }
 void Tap::look_up_list() {
-  entry_->add_orders()->set_look_up_list(true);
+  notes_.look_up_list();
   host_.look_up_list();
 }
 void Tap::probe(ReplicaId replica) {
-  entry_->add_orders()->set_probe(number(replica));
+  notes_.probe(replica);
   host_.probe(replica);
 }
 void Tap::tell(std::optional<PeerId> peer, std::string_view message) {
-  auto& to = *entry_->add_orders()->mutable_tell();
-  if (peer) to.set_peer(number(*peer));
-  to.set_message(std::string(message));
+  notes_.tell(peer, message);
   host_.tell(peer, message);
 }
 void Tap::log(std::string_view line) {
-  entry_->add_orders()->set_log(std::string(line));
+  notes_.log(line);
   host_.log(line);
 }
 
--- a/src/record/tap.h
+++ b/src/record/tap.h
@@ -5,12 +5,9 @@
 #include <memory>
 #include <string>
 
+#include "record/orders.h"
 #include "rules.h"
 
-namespace ospreypost::kept {
-class Entry;
-}
-
 namespace ospreypost::record {
 
 class Writer;
@@ -55,7 +52,8 @@
 
   Host& host_;
   Writer* const writer_;
-  std::unique_ptr<kept::Entry> entry_;
+  std::unique_ptr<kept::Entry> entry_;  // of the call being made
+  OrderNotes notes_;
   std::string text_;
   std::unique_ptr<Governor> governor_;
 };
--- a/src/replay/replay.cpp
+++ b/src/replay/replay.cpp
@@ -11,67 +11,13 @@
 #include "net/socket.h"
 #include "record.pb.h"
 #include "record/blocks.h"
+#include "record/orders.h"
 
 namespace ospreypost::replay {
 namespace {
 
 namespace fs = std::filesystem;
 using kept::Entry;
-using kept::Order;
-
-// Notes each order as the record has it.
-class Noting : public Host {
- public:
-  std::vector<Order> orders;
-
-  void set_line(TableId table, ReplicaId replica, double weight) override {
-    auto& to = *add().mutable_set_line();
-    to.set_table(static_cast<std::uint32_t>(table));
-    to.set_replica(static_cast<std::uint32_t>(replica));
-    to.set_weight(weight);
-  }
-  void clear_table(TableId table) override { add().set_clear_table(static_cast<std::uint32_t>(table)); }
-  void bind(ProxyId proxy, TableId table, ClassMask classes) override {
-    auto& to = *add().mutable_bind();
-    to.set_proxy(static_cast<std::uint32_t>(proxy));
-    to.set_table(static_cast<std::uint32_t>(table));
-    to.set_classes(classes);
-  }
-  void withdraw(ReplicaId replica, bool out) override {
-    auto& to = *add().mutable_withdraw();
-    to.set_replica(static_cast<std::uint32_t>(replica));
-    to.set_out(out);
-  }
-  void set_level(TableId table, ClassMask classes, double level, Retry retry) override {
-    auto& to = *add().mutable_set_level();
-    to.set_table(static_cast<std::uint32_t>(table));
-    to.set_classes(classes);
-    to.set_level(level);
-    to.set_retry(static_cast<std::uint32_t>(retry));
-  }
-  void mark(MarkId mark, bool reach_all) override {
-    auto& to = *add().mutable_mark();
-    to.set_mark(static_cast<std::uint64_t>(mark));
-    to.set_reach_all(reach_all);
-  }
-  void arm(Nanos from_now, TimerId timer) override {
-    auto& to = *add().mutable_arm();
-    to.set_from_now(from_now.count());
-    to.set_timer(static_cast<std::uint64_t>(timer));
-  }
-  void watch_list(bool on) override { add().set_watch_list(on); }
-  void look_up_list() override { add().set_look_up_list(true); }
-  void probe(ReplicaId replica) override { add().set_probe(static_cast<std::uint32_t>(replica)); }
-  void tell(std::optional<PeerId> peer, std::string_view message) override {
-    auto& to = *add().mutable_tell();
-    if (peer) to.set_peer(static_cast<std::uint32_t>(*peer));
-    to.set_message(std::string(message));
-  }
-  void log(std::string_view line) override { add().set_log(std::string(line)); }
-
- private:
-  Order& add() { return orders.emplace_back(); }
-};
 
 // The call is made again, as it was made then. False if it is none of a governor's.
 bool make(Governor& governor, const Entry& entry) {
@@ -189,7 +135,7 @@
     if (outcome_.calls == 0) outcome_.from = Nanos(entry.at());
     outcome_.to = Nanos(entry.at());
     ++outcome_.calls;
-    host_.orders.clear();
+    replayed_.clear_orders();
     if (entry.call_case() == Entry::kBegin) {
       const auto [settings, seed] = options_.settings_of(entry.begin().configuration());
       governor_ = std::make_unique<Governor>(settings, seed, Nanos(entry.at()), host_);
@@ -204,12 +150,11 @@
   }
 
   void compare(const Entry& entry) {
-    const auto recorded = static_cast<std::size_t>(entry.orders_size());
-    for (std::size_t n = 0; n < std::max(recorded, host_.orders.size()); ++n) {
+    for (int n = 0; n < std::max(entry.orders_size(), replayed_.orders_size()); ++n) {
       std::string then, now;
-      if (n < recorded) entry.orders(static_cast<int>(n)).SerializeToString(&then);
-      if (n < host_.orders.size()) {
-        host_.orders[n].SerializeToString(&now);
+      if (n < entry.orders_size()) entry.orders(n).SerializeToString(&then);
+      if (n < replayed_.orders_size()) {
+        replayed_.orders(n).SerializeToString(&now);
         digest_ = XXH3_64bits_withSeed(now.data(), now.size(), digest_);
         ++outcome_.orders;
       }
@@ -219,8 +164,8 @@
       auto call = entry;
       call.clear_orders();
       const Difference difference{Nanos(entry.at()), outcome_.calls, call.ShortDebugString(),
-                                  n < recorded ? entry.orders(static_cast<int>(n)).ShortDebugString() : "",
-                                  n < host_.orders.size() ? host_.orders[n].ShortDebugString() : ""};
+                                  n < entry.orders_size() ? entry.orders(n).ShortDebugString() : "",
+                                  n < replayed_.orders_size() ? replayed_.orders(n).ShortDebugString() : ""};
       if (!outcome_.first) outcome_.first = difference;
       if (options_.differs) options_.differs(difference);
     }
@@ -228,7 +173,8 @@
 
   const Options& options_;
   Outcome outcome_;
-  Noting host_;
+  Entry replayed_;  // the orders that are made now
+  record::OrderNotes host_{replayed_};
   std::unique_ptr<Governor> governor_;
   std::uint64_t digest_ = 0;
   std::size_t damaged_ = 0;
--- a/tests/program/record_test.cpp
+++ b/tests/program/record_test.cpp
@@ -13,6 +13,7 @@
 #include "record/tap.h"
 #include "record/writer.h"
 #include "replay/replay.h"
+#include "support.h"
 
 namespace ospreypost::record {
 namespace {
@@ -143,42 +144,13 @@
 
 // --- Replay
 
-class Nobody : public Host {
+class Nobody : public test::DeafHost {
  public:
-  void set_line(TableId, ReplicaId, double) override {}
-  void clear_table(TableId) override {}
-  void bind(ProxyId, TableId, ClassMask) override {}
-  void withdraw(ReplicaId, bool) override {}
-  void set_level(TableId, ClassMask, double, Retry) override {}
-  void mark(MarkId, bool) override {}
   void arm(Nanos, TimerId timer) override { armed.push_back(timer); }
-  void watch_list(bool) override {}
-  void look_up_list() override {}
-  void probe(ReplicaId) override {}
-  void tell(std::optional<PeerId>, std::string_view) override {}
-  void log(std::string_view) override {}
   std::vector<TimerId> armed;
 };
 
-Settings settings() {
-  Settings made;
-  made.classes.resize(1);
-  made.classes[0].target_time = 1s;
-  made.classes[0].abandon_time = 2s;
-  made.zones = 2;
-  made.proxies = 3;
-  made.connections_least = 100;
-  made.report_every = 1s;
-  made.drain_grace = 3s;
-  made.bare_limit = 5s;
-  made.channel_lines_per_second = 1000;
-  made.channel_most_waiting = 1000;
-  made.cold_share = 0.25;
-  made.cold_time = 8s;
-  made.fall_multiple = 2.5;
-  made.fall_time = 3s;
-  return made;
-}
+Settings settings() { return config::module_settings(test::small_config()); }
 
 replay::Options exact() {
   replay::Options options;
--- a/tests/program/support.h
+++ b/tests/program/support.h
@@ -41,4 +41,21 @@
   return text.replace(text.find(from), from.size(), to);
 }
 
+// Drops every order.
+class DeafHost : public Host {
+ public:
+  void set_line(TableId, ReplicaId, double) override {}
+  void clear_table(TableId) override {}
+  void bind(ProxyId, TableId, ClassMask) override {}
+  void withdraw(ReplicaId, bool) override {}
+  void set_level(TableId, ClassMask, double, Retry) override {}
+  void mark(MarkId, bool) override {}
+  void arm(Nanos, TimerId) override {}
+  void watch_list(bool) override {}
+  void look_up_list() override {}
+  void probe(ReplicaId) override {}
+  void tell(std::optional<PeerId>, std::string_view) override {}
+  void log(std::string_view) override {}
+};
+
 }  // namespace ospreypost::test
