--- a/src/book/order_book.h
+++ b/src/book/order_book.h
@@ -24,6 +24,9 @@
   void joined(ProxyId proxy);  // bound to nothing until a binding comes
   void left(ProxyId proxy);
 
+  // Whether anything was ordered, or anybody came or went, since the last version.
+  bool changed() const { return !touched_.empty() || !rebound_.empty() || members_changed_; }
+
   // What changed for a proxy with a version, in lines as a message would carry them.
   struct Pending {
     ProxyId proxy{};
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -9,6 +9,8 @@
 namespace ospreypost::cli {
 
 int serve(const std::string& config_path);
+// As the operators' platform starts it: told by ROUTER_CONFIG.
+int platform();
 int check_config(const std::string& config_path);
 
 struct ShowOptions {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,6 +1,6 @@
-// The program: `ospreypost serve|check-config|show|receive|rollback|replay|record|day`. Exit status: 0 done,
-// 1 it failed at run time, 2 the command line or a file is at fault, 3 a day broke a rule, or a replay
-// differs.
+// The program: `ospreypost serve|platform|check-config|show|receive|rollback|replay|record|day`. Exit status:
+// 0 done, 1 it failed at run time, 2 the command line or a file is at fault, 3 a day broke a rule, or a
+// replay differs.
 #include <CLI/CLI.hpp>
 #include <iostream>
 
@@ -18,6 +18,8 @@
   std::string config;
   auto* serve = app.add_subcommand("serve", "run a governor until SIGTERM or SIGINT");
   serve->add_option("CONFIG", config, "its configuration (XML)")->required();
+  auto* platform =
+      app.add_subcommand("platform", "run a governor on the operators' platform (ROUTER_CONFIG)");
   auto* check = app.add_subcommand("check-config", "say what is wrong with a configuration, if anything");
   check->add_option("CONFIG", config, "the configuration (XML)")->required();
 
@@ -107,6 +109,7 @@
     return app.exit(error) == 0 ? 0 : 2;
   }
   if (serve->parsed()) return cli::serve(config);
+  if (platform->parsed()) return cli::platform();
   if (check->parsed()) return cli::check_config(config);
   if (replay->parsed() && (*setting || model || !asking.report.empty())) {
     asking.records = replaying.records;
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -98,6 +98,38 @@
   return response;
 }
 
+void Connection::read_lines(std::size_t most_line_bytes, net::Steady::duration silence,
+                            const std::function<void(std::string_view)>& take) {
+  beast::response_parser<beast::string_body> parser;
+  parser.eager(true);
+  parser.body_limit(boost::none);
+  std::array<char, 16384> buffer{};
+  while (!parser.is_done()) {
+    const auto got = net::read_some(socket_, buffer, net::Steady::now() + silence);
+    if (got == 0) throw net::Error("the stream ended");
+    early_.append(buffer.data(), got);
+    boost::system::error_code error;
+    for (std::size_t used = 1; used > 0 && !early_.empty() && !parser.is_done();) {
+      used = parser.put(boost::asio::buffer(early_), error);
+      early_.erase(0, used);
+      if (error && error != beast::error::need_more) throw net::Error(error.message());
+      if (error) break;
+    }
+    if (early_.size() > most_line_bytes) throw net::Error("a chunk without an end");
+    if (!parser.is_header_done()) continue;
+    if (parser.get().result_int() != 200)
+      throw net::Error("status " + std::to_string(parser.get().result_int()));
+    auto& body = parser.get().body();
+    std::size_t at = 0;
+    for (auto end = body.find('\n'); end != std::string::npos; end = body.find('\n', at)) {
+      take(std::string_view(body).substr(at, end - at));
+      at = end + 1;
+    }
+    body.erase(0, at);
+    if (body.size() > most_line_bytes) throw net::Error("a line without an end");
+  }
+}
+
 void Connection::write(const Request& request, const std::string& host, net::Deadline until) {
   beast::request<beast::string_body> message;
   message.method_string(request.method);
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "net/guests.h"
@@ -51,6 +52,10 @@
   std::optional<Request> read_request(const Limits& limits);
   // Throws net::Error at the deadline, a broken stream or a malformed answer.
   Response read_response(std::size_t most_body_bytes, net::Deadline until);
+  // Reads an answer whose body goes on, and hands over each of its lines without its end, until the body
+  // ends. Throws net::Error when nothing came for `silence`, the line is too long, or the status is not 200.
+  void read_lines(std::size_t most_line_bytes, net::Steady::duration silence,
+                  const std::function<void(std::string_view)>& take);
   void write(const Request& request, const std::string& host, net::Deadline until);
   void write(const Response& response, net::Deadline until);
   const net::Socket& socket() const { return socket_; }
--- /dev/null
+++ b/src/platform/channel.h
@@ -0,0 +1,84 @@
+// What each proxy holds as last written on its stream, and the one message that brings it to what stands.
+// Pure.
+//
+// What is withdrawn leaves the lines that are written; a proxy is never told to shut a replica out by itself,
+// as that would outlive its stream and bind it under other governors.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "book/version.h"
+
+namespace ospreypost::platform {
+
+class Channel {
+ public:
+  // Names of classes in the order of the settings; `usual`: how a proxy that was told nothing tries again.
+  Channel(std::vector<std::string> classes, Retry usual);
+
+  // A new stream: whatever was written on another counts for nothing.
+  void joined(ProxyId proxy);
+  void left(ProxyId proxy);
+  // What the proxy is to hold from now on.
+  void ordered(ProxyId proxy, std::shared_ptr<const book::Holding> holding);
+  // Joined proxies without tables of ours are to drop these lines from what they brought along.
+  void out(const std::vector<ReplicaId>& replicas);
+  // The proxy is to answer once it has applied all that stands now.
+  void marked(ProxyId proxy, MarkId mark);
+
+  // Whom there is something to write to.
+  const std::set<ProxyId>& due() const { return due_; }
+
+  struct Message {
+    std::string bytes;      // empty: nothing differs
+    std::size_t lines = 0;  // as the platform counts them, without the head
+  };
+  // Counts as written. `name_of` gives the name that discovery knows a replica by.
+  Message next(ProxyId proxy, const std::function<std::string_view(ReplicaId)>& name_of);
+
+  // The marks that the answer to `nonce` settles, that of earlier messages included.
+  std::vector<MarkId> answered(ProxyId proxy, std::uint64_t nonce);
+  // Whether any proxy may still hold a line of it.
+  bool holds(ReplicaId replica) const;
+
+ private:
+  using Lines = std::map<ReplicaId, double>;
+  struct Table {
+    bool ours = false;  // else it is what the proxy brought along
+    Lines lines;
+    book::Terms terms;
+  };
+  struct Proxy {
+    std::vector<Table> written;  // by class
+    std::shared_ptr<const book::Holding> wanted;
+    std::vector<ReplicaId> shed;  // lines to drop from what it brought along
+    std::vector<MarkId> marks;    // to be asked for
+    std::vector<std::pair<std::uint64_t, std::vector<MarkId>>> asked;
+  };
+  // A push to some classes; what is empty is not written.
+  struct Part {
+    std::vector<std::size_t> classes;
+    bool full = false;
+    std::vector<std::pair<ReplicaId, double>> lines;
+    const book::Terms* terms = nullptr;
+  };
+  void settle_lines(Proxy& proxy, std::vector<Part>& parts) const;
+  void settle_terms(Proxy& proxy, std::vector<Part>& parts) const;
+  std::string routes(const std::vector<std::size_t>& classes) const;
+
+  const std::vector<std::string> classes_;
+  const book::Terms usual_;
+  std::map<ProxyId, Proxy> proxies_;
+  std::set<ProxyId> due_;
+  std::uint64_t last_nonce_ = 0;
+};
+
+}  // namespace ospreypost::platform
--- /dev/null
+++ b/src/platform/environment.h
@@ -0,0 +1,35 @@
+// What the platform tells a governor at its start: the JSON configuration that ROUTER_CONFIG names.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/socket.h"
+#include "rules.h"
+#include "sources/registry.h"
+
+namespace ospreypost::platform {
+
+struct Environment {
+  std::string name;
+  net::Address listen, discovery, peer_listen;
+  std::vector<net::Address> peers;  // by number, its own included; empty: none
+  net::Address peers_all;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 0;  // file descriptors at most
+  Settings settings;
+  // The names that the settings' numbers stand for, in their order.
+  std::vector<std::string> classes, zones, kinds, load_columns;
+  Retry usual_retry = Retry::after_proof;  // of a proxy that has no orders for a class
+  Nanos quantum{};                         // the simulator's least time between two batches
+  std::string known;                       // the list as last had, in discovery's form
+};
+
+// Throws config::Faulty: one line that names `where` and the field.
+Environment parse_environment(std::string_view text, const std::string& where);
+// Throws config::Faulty also where there is no such file.
+Environment read_environment(const std::string& path);
+
+}  // namespace ospreypost::platform
--- /dev/null
+++ b/src/platform/places.cpp
@@ -0,0 +1,87 @@
+#include "platform/places.h"
+
+#include <algorithm>
+#include <set>
+
+namespace ospreypost::platform {
+namespace {
+
+std::optional<std::uint16_t> position(const std::vector<std::string>& names, const std::string& name) {
+  const auto found = std::find(names.begin(), names.end(), name);
+  if (found == names.end()) return std::nullopt;
+  return static_cast<std::uint16_t>(found - names.begin());
+}
+
+}  // namespace
+
+ListEntry Places::entry_of(const sources::Member& member, Taken& taken) {
+  const auto known = ids_.find(member.name);
+  const ReplicaId id = known != ids_.end() ? known->second : ReplicaId{next_++};
+  if (known == ids_.end()) ids_.emplace(member.name, id);
+  auto& place = places_[id];
+  place.name = member.name;
+  if (member.phase != Phase::ready && place.phase == Phase::ready) taken.out.push_back(id);
+  place.phase = member.phase;
+  ListEntry entry;
+  entry.replica = id;
+  entry.phase = member.phase;
+  if (member.phase == Phase::gone) return entry;
+  place.address = member.address;
+  entry.zone = ZoneId{*position(zones_, member.zone)};
+  entry.kind = KindId{*position(kinds_, member.kind)};
+  entry.cell = CellId{static_cast<std::uint16_t>(member.cell)};
+  entry.weight = member.weight;
+  if (member.started) entry.started = *member.started + offset_;
+  return entry;
+}
+
+Places::Taken Places::take(const sources::Roster& roster) {
+  Taken taken;
+  std::set<std::string_view> named;
+  for (const auto& member : roster.members) {
+    named.insert(member.name);
+    const bool gone = member.phase == Phase::gone;
+    // Nobody needs to hear that a stranger is gone.
+    if (gone && !ids_.contains(member.name)) continue;
+    if (!gone && (!position(zones_, member.zone) || !position(kinds_, member.kind))) {
+      ++taken.refused;
+      continue;
+    }
+    taken.entries.push_back(entry_of(member, taken));
+  }
+  if (!roster.complete) return taken;
+  for (auto& [id, place] : places_) {
+    if (named.contains(place.name)) continue;
+    if (place.phase == Phase::ready) taken.out.push_back(id);
+    place.phase = Phase::gone;
+  }
+  return taken;
+}
+
+std::optional<ReplicaId> Places::find(std::string_view name) const {
+  const auto known = ids_.find(name);
+  if (known == ids_.end()) return std::nullopt;
+  return known->second;
+}
+
+const Place* Places::place(ReplicaId id) const {
+  const auto known = places_.find(id);
+  return known == places_.end() ? nullptr : &known->second;
+}
+
+std::vector<ReplicaId> Places::gone() const {
+  std::vector<ReplicaId> found;
+  for (const auto& [id, place] : places_) {
+    if (place.phase == Phase::gone) found.push_back(id);
+  }
+  return found;
+}
+
+void Places::let_go(ReplicaId id) {
+  const auto known = places_.find(id);
+  if (known == places_.end()) return;
+  ids_.erase(known->second.name);
+  places_.erase(known);
+}
+
+}  // namespace ospreypost::platform
--- /dev/null
+++ b/src/platform/places.h
@@ -0,0 +1,56 @@
+// The replicas as discovery names them, and the numbers that stand for them: given once, never again, and let
+// go with the name when nobody needs it. Pure.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "rules.h"
+#include "sources/registry.h"
+
+namespace ospreypost::platform {
+
+struct Place {
+  std::string name;
+  net::Address address;
+  Phase phase = Phase::gone;
+};
+
+class Places {
+ public:
+  // `offset`: from Unix time to the module's clock, the same for the life of the process, so that a start
+  // that is told twice is one start.
+  Places(std::vector<std::string> zones, std::vector<std::string> kinds, Nanos offset)
+      : zones_(std::move(zones)), kinds_(std::move(kinds)), offset_(offset) {}
+
+  struct Taken {
+    std::vector<ListEntry> entries;
+    std::vector<ReplicaId> out;  // known ones that are now neither ready nor were out before
+    std::size_t refused = 0;     // entries of zones or kinds that the settings don't have
+  };
+  Taken take(const sources::Roster& roster);
+
+  std::optional<ReplicaId> find(std::string_view name) const;
+  // Null if it was let go or never given.
+  const Place* place(ReplicaId id) const;
+  // Those that are gone.
+  std::vector<ReplicaId> gone() const;
+  void let_go(ReplicaId id);
+  std::size_t size() const { return places_.size(); }
+
+ private:
+  ListEntry entry_of(const sources::Member& member, Taken& taken);
+
+  const std::vector<std::string> zones_, kinds_;
+  const Nanos offset_;
+  std::map<ReplicaId, Place> places_;
+  std::map<std::string, ReplicaId, std::less<>> ids_;
+  std::uint32_t next_ = 0;
+};
+
+}  // namespace ospreypost::platform
--- /dev/null
+++ b/src/platform/service.cpp
@@ -0,0 +1,244 @@
+#include "platform/service.h"
+
+#include <spdlog/spdlog.h>
+
+#include "http/http.h"
+
+namespace ospreypost::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kProbers = 6, kProbesWaiting = 64;
+constexpr std::size_t kSmallestStack = 64 * 1024;
+constexpr auto kProbeWithin = 500ms;
+// Descriptors for all that is no stream: probes, discovery, polling, standard streams.
+constexpr std::size_t kOtherDescriptors = 32;
+constexpr Nanos kGatherLeast = 2ms;
+constexpr Nanos kLookEvery = 500ms;
+constexpr Nanos kComplainEvery = 5s;
+constexpr std::string_view kHealthPath = "/stats";
+
+Nanos now() { return std::chrono::steady_clock::now().time_since_epoch(); }
+Nanos wall_now() { return std::chrono::system_clock::now().time_since_epoch(); }
+
+}  // namespace
+
+Service::Service(const Environment& environment, std::shared_ptr<spdlog::logger> log)
+    : environment_(environment),
+      log_(std::move(log)),
+      channel_(environment.classes, environment.usual_retry),
+      places_(environment.zones, environment.kinds, now() - wall_now()) {
+  probers_ = std::make_unique<net::Crew>("prober", kProbers, kProbesWaiting, kSmallestStack);
+  // All calls of a short while leave as one message for each proxy, as the calls of one batch do in the
+  // simulator: each message costs its head, and only so many may go to a proxy.
+  const auto gather = std::max(environment_.quantum, kGatherLeast);
+  desk_ = std::make_unique<governor::Desk>(
+      governor::Desk::Start{environment_.settings, environment_.seed, gather, nullptr, ""}, now,
+      static_cast<governor::Door&>(*this));
+  std::uint64_t revision = 0;
+  try {
+    const auto known = sources::parse_roster(environment_.known);
+    revision = known.revision;
+    take_list(known, true);
+  } catch (const net::Error& error) {
+    complain(std::string("no list was known: ") + error.what());
+  }
+  Vocabulary vocabulary;
+  vocabulary.classes = environment_.classes;
+  vocabulary.zones = environment_.zones;
+  vocabulary.load_columns = environment_.load_columns;
+  vocabulary.proxies = environment_.settings.proxies;
+  vocabulary.replica_of = [this](std::string_view name) {
+    const std::lock_guard held(lock_);
+    return places_.find(name);
+  };
+  streams_ = std::make_unique<Streams>(environment_.listen, environment_.sockets - kOtherDescriptors,
+                                       std::move(vocabulary), static_cast<StreamSink&>(*this));
+  registry_ = std::make_unique<sources::Registry>(environment_.discovery, revision,
+                                                  static_cast<sources::RegistrySink&>(*this));
+  desk_->open([this] { look_round(); }, kLookEvery);
+}
+
+void Service::stop() {
+  if (stopped_.exchange(true)) return;
+  registry_->stop();
+  desk_->stop();
+  streams_->stop();
+  probers_->stop();
+}
+
+void Service::renew(const Environment& environment) {
+  log_->info("configuration read again, discovery at {}", environment.discovery.text());
+  registry_->move_to(environment.discovery);
+}
+
+// --- Orders
+
+void Service::ordered(Nanos, const std::optional<book::OrderBook::Published>& published,
+                      const std::vector<std::pair<MarkId, bool>>& marks) {
+  {
+    const std::lock_guard held(lock_);
+    if (published) {
+      version_ = published->version;
+      for (const auto& pending : published->pending)
+        channel_.ordered(pending.proxy, version_->holding_of(pending.proxy));
+    }
+    for (const auto& [mark, reach_all] : marks) {
+      for (const auto proxy : version_->marked(reach_all)) channel_.marked(proxy, mark);
+    }
+  }
+  if (streams_) streams_->wake();
+}
+
+void Service::probe(ReplicaId replica) {
+  net::Address at;
+  {
+    const std::lock_guard held(lock_);
+    const auto* place = places_.place(replica);
+    if (!place || place->phase == Phase::gone) return;
+    at = place->address;
+  }
+  probers_->take([this, replica, at] { ask_load(replica, at); });
+}
+
+// The module knows numbers only; people know names.
+void Service::log(std::string_view line) {
+  constexpr std::string_view word = "replica ";
+  std::string named(line);
+  if (const auto at = named.find(word); at != std::string::npos) {
+    const auto digits = at + word.size();
+    const auto end = named.find_first_not_of("0123456789", digits);
+    const auto id = std::strtoul(named.c_str() + digits, nullptr, 10);
+    const std::lock_guard held(lock_);
+    const auto* place = places_.place(ReplicaId{static_cast<std::uint32_t>(id)});
+    if (place) named.replace(digits, end - digits, place->name);
+  }
+  log_->info("{}", named);
+}
+
+// --- Streams
+
+void Service::proxy_joined(ProxyId proxy, ZoneId zone, double operations_per_second, bool fresh) {
+  desk_->call([&](record::Tap& governor, book::OrderBook& book, Nanos at) {
+    {
+      const std::lock_guard held(lock_);
+      channel_.joined(proxy);
+    }
+    book.left(proxy);
+    book.joined(proxy);
+    governor.proxy_joined(at, proxy, zone, operations_per_second, fresh);
+  });
+}
+
+void Service::proxy_left(ProxyId proxy) {
+  desk_->call([&](record::Tap& governor, book::OrderBook& book, Nanos at) {
+    governor.proxy_left(at, proxy);
+    book.left(proxy);
+    const std::lock_guard held(lock_);
+    channel_.left(proxy);
+  });
+}
+
+void Service::replica_summed(const ReplicaSum& sum) {
+  desk_->call([&](record::Tap& governor, book::OrderBook&, Nanos at) {
+    governor.replica_summed(at, sum, record::Origin{});
+  });
+}
+
+void Service::demand_summed(ProxyId proxy, const Demand& demand) {
+  desk_->call([&](record::Tap& governor, book::OrderBook&, Nanos at) {
+    governor.demand_summed(at, demand, record::Origin{proxy, {}});
+  });
+}
+
+void Service::mark_answered(ProxyId proxy, std::uint64_t nonce, Nanos took) {
+  std::vector<MarkId> settled;
+  {
+    const std::lock_guard held(lock_);
+    settled = channel_.answered(proxy, nonce);
+  }
+  for (const auto mark : settled) {
+    desk_->call([&](record::Tap& governor, book::OrderBook&, Nanos at) {
+      governor.orders_applied(at, proxy, mark, took);
+    });
+  }
+}
+
+std::vector<ProxyId> Service::due() {
+  const std::lock_guard held(lock_);
+  return {channel_.due().begin(), channel_.due().end()};
+}
+
+std::string Service::next_for(ProxyId proxy) {
+  const std::lock_guard held(lock_);
+  return channel_
+      .next(proxy,
+            [this](ReplicaId id) {
+              const auto* place = places_.place(id);
+              return place ? std::string_view(place->name) : std::string_view{};
+            })
+      .bytes;
+}
+
+void Service::complain(const std::string& what) {
+  const std::lock_guard held(complaints_lock_);
+  ++complaints_;
+  if (complained_ != Nanos{} && now() - complained_ < kComplainEvery) return;
+  log_->warn("{} such since the last line; the newest: {}", complaints_, what);
+  complained_ = now();
+  complaints_ = 0;
+}
+
+// --- The list, and what is asked of replicas
+
+void Service::roster_received(const sources::Roster& roster) { take_list(roster, false); }
+
+void Service::take_list(const sources::Roster& roster, bool at_start) {
+  desk_->call([&](record::Tap& governor, book::OrderBook&, Nanos at) {
+    Places::Taken taken;
+    {
+      const std::lock_guard held(lock_);
+      taken = places_.take(roster);
+      channel_.out(taken.out);
+    }
+    if (roster.refused + taken.refused > 0) complain("entries of the list that cannot be read");
+    const auto kind = at_start ? ListKind::cached : roster.complete ? ListKind::complete : ListKind::changes;
+    governor.list_received(at, kind, taken.entries);
+  });
+  if (streams_) streams_->wake();
+}
+
+void Service::ask_load(ReplicaId replica, const net::Address& at) {
+  ProbeAnswer answer;
+  answer.replica = replica;
+  const auto begun = net::Steady::now();
+  try {
+    http::Request request;
+    request.target = kHealthPath;
+    const auto got = http::fetch(at, request, begun + kProbeWithin);
+    answer.refused = got.status == 503;
+    answer.answered = got.status == 200;
+    if (answer.answered) answer.load = read_report(got.body, environment_.load_columns);
+  } catch (const Spoilt& spoilt) {
+    complain("a load report was dropped: " + std::string(spoilt.what()));
+    answer.answered = false;
+  } catch (const std::exception&) {
+    // No answer is an answer, and told as one.
+  }
+  answer.took = net::Steady::now() - begun;
+  if (stopped_) return;
+  desk_->call(
+      [&](record::Tap& governor, book::OrderBook&, Nanos now) { governor.probe_answered(now, answer); });
+}
+
+// Every so often: what no call may do, as it would wait or take long.
+void Service::look_round() {
+  if (wants_list_.exchange(false)) registry_->look();
+  const std::lock_guard held(lock_);
+  for (const auto id : places_.gone()) {
+    if (!channel_.holds(id)) places_.let_go(id);
+  }
+}
+
+}  // namespace ospreypost::platform
--- /dev/null
+++ b/src/platform/streams.cpp
@@ -0,0 +1,218 @@
+#include "platform/streams.h"
+
+#include <array>
+
+namespace ospreypost::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kListener = 0;
+constexpr int kBacklog = 1024;
+constexpr auto kToJoin = 1500ms;  // a connection that has not by then is nobody's
+constexpr auto kLook = 100ms;     // between looks for those
+constexpr std::size_t kAdmitAtOnce = 64;
+constexpr std::size_t kMostOut = std::size_t{256} << 10;  // of answers to a party that does not read
+constexpr resp::Limits kOfStrangers{std::size_t{4} << 10, 32};
+constexpr resp::Limits kOfJoined{std::size_t{64} << 10, 64};
+
+}  // namespace
+
+// What one message tells, with the connection that it came on.
+class Streams::Ear : public Told {
+ public:
+  Ear(Streams& streams, Guest& guest) : streams_(streams), guest_(guest) {}
+
+  void asked_for_life() override {
+    std::string alive;
+    resp::write(alive, {"alive"});
+    if (guest_.out.size() > kMostOut || !streams_.write(guest_, alive))
+      throw net::Error("it takes no answer");
+  }
+  void proxy_said_hello(ProxyId proxy, ZoneId zone, double rate, bool fresh) override {
+    if (const auto old = streams_.joined_.find(proxy); old != streams_.joined_.end()) {
+      // The end of the older stream says nothing more about the proxy.
+      const auto key = old->second;
+      streams_.joined_.erase(old);
+      if (key != guest_.key) streams_.end(key);
+    }
+    become(Party::proxy);
+    guest_.proxy = proxy;
+    streams_.joined_[proxy] = guest_.key;
+    streams_.sink_.proxy_joined(proxy, zone, rate, fresh);
+  }
+  void collector_said_hello(ZoneId) override { become(Party::collector); }
+  void replica_summed(const ReplicaSum& sum) override { streams_.sink_.replica_summed(sum); }
+  void demand_summed(ProxyId proxy, const Demand& demand) override {
+    streams_.sink_.demand_summed(proxy, demand);
+  }
+  void mark_answered(ProxyId proxy, std::uint64_t nonce, Nanos took) override {
+    streams_.sink_.mark_answered(proxy, nonce, took);
+  }
+
+ private:
+  void become(Party party) {
+    guest_.party = party;
+    guest_.reader.set_limits(kOfJoined);
+    streams_.strangers_.erase(guest_.key);
+  }
+
+  Streams& streams_;
+  Guest& guest_;
+};
+
+Streams::Streams(const net::Address& listen, std::size_t most, Vocabulary vocabulary, StreamSink& sink)
+    : most_(most),
+      vocabulary_(std::move(vocabulary)),
+      sink_(sink),
+      listener_(net::listen_tcp(listen, kBacklog)) {
+  poller_.add(listener_.get(), kListener);
+  thread_ = net::Thread("streams", [this] { work(); });
+}
+
+void Streams::stop() {
+  stopping_ = true;
+  poller_.wake();
+  thread_.join();
+}
+
+void Streams::work() {
+  while (!stopping_) {
+    try {
+      turn();
+    } catch (const std::exception& error) {
+      sink_.complain(error.what());
+    }
+  }
+}
+
+void Streams::turn() {
+  const auto& ready = poller_.wait(net::Steady::now() + kLook);
+  for (const auto& event : ready) {
+    if (event.key == kListener) {
+      admit();
+      continue;
+    }
+    const auto guest = guests_.find(event.key);
+    if (guest == guests_.end()) continue;  // it gave way in between
+    if (event.writable && !write(guest->second, {})) {
+      end(event.key);
+      continue;
+    }
+    if (event.readable) hear(guest->second);
+  }
+  end_old_strangers();
+  write_due();
+}
+
+void Streams::admit() {
+  for (std::size_t n = 0; n < kAdmitAtOnce; ++n) {
+    auto socket = net::accept_now(listener_);
+    if (!socket) return;
+    if (guests_.size() >= most_) {
+      // Neither may a flood keep proxies out, nor may whoever has joined be ended for it.
+      if (strangers_.empty()) continue;
+      end(*strangers_.begin());
+    }
+    const auto key = ++last_key_;
+    auto& guest = guests_[key];
+    guest.key = key;
+    guest.socket = std::move(socket);
+    guest.reader.set_limits(kOfStrangers);
+    guest.since = net::Steady::now();
+    strangers_.insert(key);
+    poller_.add(guest.socket.get(), key);
+  }
+}
+
+void Streams::hear(Guest& guest) {
+  std::array<char, 16384> buffer;
+  try {
+    const auto got = net::read_now(guest.socket, buffer);
+    if (!got) return;
+    if (*got == 0) return end(guest.key);
+    guest.reader.put({buffer.data(), *got});
+    while (understand(guest)) {
+    }
+  } catch (const resp::Malformed& error) {
+    refuse(guest, error.what());
+  } catch (const net::Error&) {
+    end(guest.key);
+  }
+}
+
+// One message; false if none is whole, or it was the guest's last.
+bool Streams::understand(Guest& guest) {
+  const auto words = guest.reader.next();
+  if (!words) return false;
+  Ear ear(*this, guest);
+  try {
+    read_message(*words, vocabulary_, guest.party, guest.proxy, ear);
+  } catch (const Spoilt& spoilt) {
+    if (guest.party == Party::stranger) {
+      refuse(guest, spoilt.what());
+      return false;
+    }
+    sink_.complain("a message was dropped: " + std::string(spoilt.what()));
+  }
+  return true;
+}
+
+void Streams::refuse(Guest& guest, const std::string& why) {
+  if (guest.party == Party::stranger) {
+    std::string error;
+    resp::write(error, {"error", "why", why});
+    write(guest, error);
+  }
+  sink_.complain("a connection was ended: " + why);
+  end(guest.key);
+}
+
+void Streams::end(std::uint64_t key) {
+  const auto guest = guests_.find(key);
+  if (guest == guests_.end()) return;
+  const auto proxy = guest->second.proxy;
+  poller_.remove(guest->second.socket.get());
+  strangers_.erase(key);
+  guests_.erase(guest);
+  if (!proxy) return;
+  const auto joined = joined_.find(*proxy);
+  if (joined == joined_.end() || joined->second != key) return;
+  joined_.erase(joined);
+  sink_.proxy_left(*proxy);
+}
+
+void Streams::end_old_strangers() {
+  const auto now = net::Steady::now();
+  while (!strangers_.empty()) {
+    auto& oldest = guests_.at(*strangers_.begin());
+    if (now < oldest.since + kToJoin) return;
+    refuse(oldest, "it did not join in time");
+  }
+}
+
+void Streams::write_due() {
+  for (const auto proxy : sink_.due()) {
+    const auto joined = joined_.find(proxy);
+    if (joined == joined_.end()) continue;
+    auto& guest = guests_.at(joined->second);
+    // Whoever has not taken the last message gets one later, of all that stands then.
+    if (!guest.out.empty()) continue;
+    if (!write(guest, sink_.next_for(proxy))) end(guest.key);
+  }
+}
+
+bool Streams::write(Guest& guest, std::string_view bytes) {
+  guest.out += bytes;
+  try {
+    guest.out.erase(0, net::write_now(guest.socket, guest.out));
+    const bool waits = !guest.out.empty();
+    if (waits != guest.waits_for_room) poller_.want_room(guest.socket.get(), guest.key, waits);
+    guest.waits_for_room = waits;
+    return true;
+  } catch (const net::Error&) {
+    return false;
+  }
+}
+
+}  // namespace ospreypost::platform
--- a/src/program.cmake
+++ b/src/program.cmake
@@ -27,12 +27,14 @@
 
 ospreypost_package(book order_book.cpp handouts.cpp pushes.cpp claims.cpp NEEDS ospreypost_rules)
 ospreypost_package(lifetime clients.cpp NEEDS ospreypost_rules)
-ospreypost_package(net socket.cpp threads.cpp NEEDS Threads::Threads)
+ospreypost_package(net socket.cpp threads.cpp poller.cpp NEEDS Threads::Threads)
 ospreypost_package(http http.cpp NEEDS ospreypost_net)
 ospreypost_package(list roll.cpp NEEDS ospreypost_net ospreypost_rules)
 ospreypost_package(config xml.cpp config.cpp NEEDS ospreypost_net ospreypost_lifetime LibXml2::LibXml2)
 target_include_directories(ospreypost_config PUBLIC ${PROJECT_BINARY_DIR}/schemas)
-ospreypost_package(sources roll_file.cpp NEEDS ospreypost_config ospreypost_list nlohmann_json::nlohmann_json)
+ospreypost_package(sources roll_file.cpp registry.cpp
+  NEEDS ospreypost_config ospreypost_list ospreypost_http nlohmann_json::nlohmann_json)
+ospreypost_package(resp resp.cpp)
 ospreypost_package(otlp metrics.cpp NEEDS ospreypost_net ospreypost_rules nlohmann_json::nlohmann_json)
 ospreypost_package(intake spans.cpp intake.cpp NEEDS ospreypost_otlp ospreypost_config)
 ospreypost_package(dns weights.cpp message.cpp catalogue.cpp rate_limit.cpp answer_cache.cpp responder.cpp server.cpp
@@ -50,9 +52,11 @@
 target_link_libraries(ospreypost_record_schema PUBLIC protobuf::libprotobuf)
 ospreypost_package(record blocks.cpp reader.cpp edit.cpp writer.cpp orders.cpp tap.cpp
   NEEDS ospreypost_record_schema ospreypost_net ospreypost_rules PkgConfig::ZSTD PkgConfig::XXHASH)
-ospreypost_package(governor live_governor.cpp status.cpp service.cpp
+ospreypost_package(governor desk.cpp live_governor.cpp status.cpp service.cpp
   NEEDS ospreypost_book ospreypost_lifetime ospreypost_list ospreypost_sources ospreypost_intake ospreypost_dns
         ospreypost_files ospreypost_record ospreypost_http spdlog::spdlog)
+ospreypost_package(platform environment.cpp messages.cpp channel.cpp places.cpp streams.cpp service.cpp
+  NEEDS ospreypost_governor ospreypost_resp ospreypost_sources ospreypost_wire)
 ospreypost_package(judge judge.cpp NEEDS Threads::Threads)
 # Boost's distributions are headers: the same draws on any machine.
 ospreypost_package(whatif check.cpp evidence.cpp fit.cpp modelled_replica.cpp played.cpp answer.cpp NEEDS ospreypost_book ospreypost_lifetime ospreypost_judge)
@@ -62,7 +66,7 @@
 ospreypost_package(standin replica.cpp stub.cpp proxy.cpp tables.cpp courier.cpp resolver.cpp terminal.cpp
   NEEDS ospreypost_judge ospreypost_http ospreypost_otlp ospreypost_dns resolv)
 ospreypost_package(day script.cpp composed.cpp child.cpp stage.cpp run.cpp NEEDS ospreypost_standin ospreypost_terms)
-ospreypost_package(cli logging.cpp replay.cpp what_if.cpp record.cpp serve.cpp show.cpp receive.cpp day.cpp NEEDS ospreypost_governor ospreypost_replay ospreypost_report ospreypost_terms ospreypost_day CLI11::CLI11)
+ospreypost_package(cli platform.cpp logging.cpp replay.cpp what_if.cpp record.cpp serve.cpp show.cpp receive.cpp day.cpp NEEDS ospreypost_platform ospreypost_governor ospreypost_replay ospreypost_report ospreypost_terms ospreypost_day CLI11::CLI11)
 
 add_executable(ospreypost src/cli/main.cpp)
 target_link_libraries(ospreypost PRIVATE ospreypost_cli)
