One desk under both doors; the platform's door tested beside plain models and on loopback

LiveGovernor's lock, timekeeper and note-orders-publish part moved to governor/desk, which the platform's service already used: nothing stands twice.

--- a/src/governor/live_governor.cpp
+++ b/src/governor/live_governor.cpp
@@ -13,12 +13,10 @@
 
 }  // namespace
 
-LiveGovernor::LiveGovernor(const config::Config& config, World& world, Clock clock, book::Claims claims,
+LiveGovernor::LiveGovernor(const config::Config& config, World& world, Desk::Clock clock, book::Claims claims,
                            record::Writer* record)
     : config_(config),
       world_(world),
-      clock_(std::move(clock)),
-      book_(config.settings.classes.size()),
       clients_(config::client_limits(config)),
       handouts_({config.settings.message_head_lines, config.settings.messages_allowed,
                  config.settings.messages_window}),
@@ -27,43 +25,23 @@
       pushes_({config.settings.message_head_lines, config.settings.channel_lines_per_second,
                config.settings.messages_allowed, config.settings.messages_window,
                config.settings.drain_grace - 2 * kSweep - config.roll.every, config.files.renew}),
-      claims_(std::move(claims)) {
+      claims_(std::move(claims)),
+      desk_({config::module_settings(config), config.seed, {}, record, config.text}, std::move(clock),
+            static_cast<Door&>(*this)) {
   for (std::size_t p = 0; p < config.proxies.known.size(); ++p) {
     const ProxyId id{static_cast<std::uint16_t>(p)};
-    config.proxies.known[p].is_pushed_to() ? pushes_.introduce(clock_(), id)
+    config.proxies.known[p].is_pushed_to() ? pushes_.introduce(desk_.now(), id)
                                            : clients_.introduce(id, config.proxies.known[p].vouched);
   }
-  {
-    const std::lock_guard held(lock_);
-    governor_ = std::make_unique<record::Tap>(config::module_settings(config), config.seed, clock_(),
-                                              static_cast<Host&>(*this), record, config.text);
-  }
-  timekeeper_ = net::Thread("timekeeper", [this] { keep_time(); });
+  desk_.open([this] { sweep(); }, kSweep);
 }
 
 LiveGovernor::~LiveGovernor() { stop(); }
 
-void LiveGovernor::stop() {
-  {
-    const std::lock_guard held(lock_);
-    stopping_ = true;
-  }
-  time_changed_.notify_all();
-  timekeeper_.join();
-}
-
-template <typename Call>
-void LiveGovernor::call(Call made) {
-  const std::lock_guard held(lock_);
-  const auto now = clock_();
-  made(*governor_, now);
-  publish(now);
-}
-
-void LiveGovernor::publish(Nanos now) {
+void LiveGovernor::ordered(Nanos now, const std::optional<book::OrderBook::Published>& published,
+                           const std::vector<std::pair<MarkId, bool>>& marks) {
   const bool out_changed = std::exchange(out_changed_, false);
   if (out_changed) publish_out(now);
-  const auto published = book_.publish(now);
   if (published) {
     const std::lock_guard held(handouts_lock_);
     for (const auto& pending : published->pending) {
@@ -81,12 +59,11 @@
     const std::lock_guard held(shared_lock_);
     version_ = standing;
   }
-  for (const auto& [mark, reach_all] : marks_) {
+  for (const auto& [mark, reach_all] : marks) {
     const auto by = standing->marked(reach_all);
     const std::lock_guard held(handouts_lock_);
     handouts_.mark(now, mark, standing->number, by);
   }
-  marks_.clear();
 }
 
 // Whom nobody may send to now: withdrawn, draining or gone. Goes with every push, for what is kept there.
@@ -107,36 +84,20 @@
   pushes_.out(now, std::move(out));
 }
 
-void LiveGovernor::keep_time() {
-  std::unique_lock held(lock_);
-  Nanos sweep = clock_() + kSweep;
-  while (!stopping_) {
-    const auto now = clock_();
-    if (const auto timer = timers_.take(now)) {
-      governor_->timer_due(now, *timer);
-      publish(now);
-      continue;
-    }
-    if (now >= sweep) {
-      sweep = now + kSweep;
-      held.unlock();
-      std::vector<ProxyId> silent;
-      {
-        const std::lock_guard clients(clients_lock_);
-        silent = clients_.silent(now);
-      }
-      {
-        const std::lock_guard handouts(handouts_lock_);
-        const auto lost = pushes_.lost(now);
-        silent.insert(silent.end(), lost.begin(), lost.end());
-      }
-      for (const auto proxy : silent) settle(proxy);
-      held.lock();
-      continue;
-    }
-    const auto until = std::min(sweep, timers_.next().value_or(sweep));
-    time_changed_.wait_for(held, std::max<Nanos>(until - now, 100us));
+// For clients that fell silent, and pushes that nobody answers.
+void LiveGovernor::sweep() {
+  const auto now = desk_.now();
+  std::vector<ProxyId> silent;
+  {
+    const std::lock_guard clients(clients_lock_);
+    silent = clients_.silent(now);
+  }
+  {
+    const std::lock_guard handouts(handouts_lock_);
+    const auto lost = pushes_.lost(now);
+    silent.insert(silent.end(), lost.begin(), lost.end());
   }
+  for (const auto proxy : silent) settle(proxy);
 }
 
 // --- The list
@@ -163,7 +124,7 @@
   const auto position = [](const std::vector<std::string>& names, const std::string& name) {
     return static_cast<std::uint16_t>(std::find(names.begin(), names.end(), name) - names.begin());
   };
-  call([&](record::Tap& governor, Nanos now) {
+  desk_.call([&](record::Tap& governor, book::OrderBook&, Nanos now) {
     const auto before = replicas_.size();
     note_places(taken);
     std::vector<ListEntry> entries;
@@ -187,26 +148,30 @@
 }
 
 void LiveGovernor::list_failed() {
-  call([](record::Tap& governor, Nanos now) { governor.list_failed(now); });
+  desk_.call([](record::Tap& governor, book::OrderBook&, Nanos now) { governor.list_failed(now); });
 }
 
 // --- Reports
 
 void LiveGovernor::replica_summed(const ReplicaSum& sum, const record::Origin& origin) {
-  call([&](record::Tap& governor, Nanos now) { governor.replica_summed(now, sum, origin); });
+  desk_.call(
+      [&](record::Tap& governor, book::OrderBook&, Nanos now) { governor.replica_summed(now, sum, origin); });
 }
 
 void LiveGovernor::demand_summed(const Demand& demand, const record::Origin& origin) {
-  call([&](record::Tap& governor, Nanos now) { governor.demand_summed(now, demand, origin); });
+  desk_.call([&](record::Tap& governor, book::OrderBook&, Nanos now) {
+    governor.demand_summed(now, demand, origin);
+  });
 }
 
 void LiveGovernor::reported(ProxyId proxy) {
   const std::lock_guard held(clients_lock_);
-  clients_.reported(clock_(), proxy);
+  clients_.reported(desk_.now(), proxy);
 }
 
 void LiveGovernor::probe_answered(const ProbeAnswer& answer) {
-  call([&](record::Tap& governor, Nanos now) { governor.probe_answered(now, answer); });
+  desk_.call(
+      [&](record::Tap& governor, book::OrderBook&, Nanos now) { governor.probe_answered(now, answer); });
 }
 
 // --- Fronts
@@ -222,7 +187,7 @@
 
 void LiveGovernor::settle(ProxyId proxy) {
   const auto& known = entry_of(proxy);
-  call([&](record::Tap& governor, Nanos now) {
+  desk_.call([&](record::Tap& governor, book::OrderBook& book, Nanos now) {
     const bool held = is_held(proxy);
     if (held == joined_.contains(proxy)) {
       // It was given up on and answered again before anybody here noticed: what stands is still to be sent.
@@ -235,7 +200,7 @@
     world_.log((held ? "join " : "leave ") + known.name, version_->number);
     if (held) {
       joined_.insert(proxy);
-      book_.joined(proxy);
+      book.joined(proxy);
       {
         const std::lock_guard handouts(handouts_lock_);
         handouts_.joined(now, proxy);
@@ -244,7 +209,7 @@
     } else {
       joined_.erase(proxy);
       governor.proxy_left(now, proxy);
-      book_.left(proxy);
+      book.left(proxy);
       const std::lock_guard handouts(handouts_lock_);
       handouts_.left(proxy);
     }
@@ -253,7 +218,7 @@
 
 front::Told LiveGovernor::asked(ProxyId proxy, ClassId cls) {
   front::Told told;
-  const auto now = clock_();
+  const auto now = desk_.now();
   {
     const std::lock_guard held(clients_lock_);
     told.verdict = clients_.asked(now, proxy, cls);
@@ -271,7 +236,7 @@
     reached = handouts_.reached(now, proxy);
   }
   for (const auto& mark : reached) {
-    call([&](record::Tap& governor, Nanos at) {
+    desk_.call([&](record::Tap& governor, book::OrderBook&, Nanos at) {
       governor.orders_applied(at, mark.proxy, mark.mark, mark.took);
     });
   }
@@ -304,7 +269,7 @@
   std::optional<book::Offer> offer;
   {
     const std::lock_guard held(handouts_lock_);
-    offer = pushes_.next(clock_());
+    offer = pushes_.next(desk_.now());
   }
   if (!offer) return std::nullopt;
   front::Push push{offer->proxy, offer->holding, directory(), {}, offer->recall, 0, claims_.owner()};
@@ -319,20 +284,20 @@
 
 std::optional<Nanos> LiveGovernor::push_due_in() {
   const std::lock_guard held(handouts_lock_);
-  const auto now = clock_();
+  const auto now = desk_.now();
   const auto at = pushes_.wake(now);
   return at ? std::optional(std::max<Nanos>(*at - now, Nanos{})) : std::nullopt;
 }
 
 void LiveGovernor::push_taken(ProxyId proxy, book::VersionNumber since) {
   const std::lock_guard held(handouts_lock_);
-  pushes_.taken(clock_(), proxy, since);
+  pushes_.taken(desk_.now(), proxy, since);
   push_faults_.erase(proxy);
 }
 
 void LiveGovernor::push_failed(ProxyId proxy, const std::string& why) {
   const std::lock_guard held(handouts_lock_);
-  pushes_.failed(clock_(), proxy);
+  pushes_.failed(desk_.now(), proxy);
   note_fault(proxy, why);
 }
 
@@ -357,7 +322,7 @@
 void LiveGovernor::push_went_back(ProxyId proxy, const std::vector<std::string>& instead) {
   {
     const std::lock_guard held(handouts_lock_);
-    note_way_back(clock_(), proxy, instead);
+    note_way_back(desk_.now(), proxy, instead);
   }
   if (auto* pusher = pusher_.load()) pusher->something_ordered();
 }
@@ -386,7 +351,7 @@
 void LiveGovernor::push_refused(ProxyId proxy, const book::Met& met) {
   {
     const std::lock_guard held(handouts_lock_);
-    const auto now = clock_();
+    const auto now = desk_.now();
     if (!changes_hands(now, proxy, met)) {
       pushes_.failed(now, proxy);
       note_fault(proxy, "it holds something newer");
@@ -399,7 +364,7 @@
 void LiveGovernor::push_met(ProxyId proxy, const book::Met& met) {
   {
     const std::lock_guard held(handouts_lock_);
-    const auto now = clock_();
+    const auto now = desk_.now();
     const auto version = met.any ? std::optional(met.version) : std::nullopt;
     if (!changes_hands(now, proxy, met) && !pushes_.met(now, proxy, version)) {
       note_way_back(now, proxy, met.instead);
@@ -427,45 +392,26 @@
 }
 
 Standing LiveGovernor::standing() const {
-  const std::lock_guard held(lock_);
   Standing standing;
-  standing.version = version_;
-  standing.directory = directory_;
-  standing.phases = phases_;
-  {
+  desk_.look([&] {
+    standing.version = version_;
+    standing.directory = directory_;
+    standing.phases = phases_;
     const std::lock_guard handouts(handouts_lock_);
     standing.counts = handouts_.counts();
     standing.pushes = pushes_.counts();
-  }
-  for (std::size_t p = 0; p < config_.proxies.known.size(); ++p)
-    standing.joined.push_back(joined_.contains(ProxyId{static_cast<std::uint16_t>(p)}));
+    for (std::size_t p = 0; p < config_.proxies.known.size(); ++p)
+      standing.joined.push_back(joined_.contains(ProxyId{static_cast<std::uint16_t>(p)}));
+  });
   return standing;
 }
 
-// --- Orders
+// --- What else the module asks for
 
-void LiveGovernor::set_line(TableId table, ReplicaId replica, double weight) {
-  book_.set_line(table, replica, weight);
-}
-void LiveGovernor::clear_table(TableId table) { book_.clear_table(table); }
-void LiveGovernor::bind(ProxyId proxy, TableId table, ClassMask classes) {
-  book_.bind(proxy, table, classes);
-}
-void LiveGovernor::withdraw(ReplicaId replica, bool out) {
-  book_.withdraw(replica, out);
+void LiveGovernor::withdrawn(ReplicaId replica, bool out) {
   out ? void(withdrawn_.insert(replica)) : void(withdrawn_.erase(replica));
   out_changed_ = true;
 }
-void LiveGovernor::set_level(TableId table, ClassMask classes, double level, Retry retry) {
-  book_.set_level(table, classes, level, retry);
-}
-void LiveGovernor::mark(MarkId mark, bool reach_all) { marks_.emplace_back(mark, reach_all); }
-
-void LiveGovernor::arm(Nanos from_now, TimerId timer) {
-  timers_.arm(clock_() + from_now, timer);
-  time_changed_.notify_all();
-}
-
 // The roll is watched all the time; its news comes by itself.
 void LiveGovernor::watch_list(bool) {}
 void LiveGovernor::look_up_list() { world_.look_up_list(); }
--- a/src/governor/live_governor.h
+++ b/src/governor/live_governor.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <atomic>
-#include <condition_variable>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,16 +12,13 @@
 
 #include "book/claims.h"
 #include "book/handouts.h"
-#include "book/order_book.h"
 #include "book/pushes.h"
 #include "config/config.h"
 #include "front/core.h"
-#include "governor/timers.h"
+#include "governor/desk.h"
 #include "lifetime/clients.h"
 #include "list/roll.h"
 #include "names/names.h"
-#include "net/threads.h"
-#include "record/tap.h"
 #include "rules.h"
 
 namespace ospreypost::governor {
@@ -46,14 +42,12 @@
   std::vector<Phase> phases;  // by replica, as listed
 };
 
-class LiveGovernor : public front::Core, public front::PushCore, private Host {
+class LiveGovernor : public front::Core, public front::PushCore, private Door {
  public:
-  // The clock is monotonic and starts anywhere.
-  using Clock = std::function<Nanos()>;
-  LiveGovernor(const config::Config& config, World& world, Clock clock, book::Claims claims = {1, "governor"},
-               record::Writer* record = nullptr);
+  LiveGovernor(const config::Config& config, World& world, Desk::Clock clock,
+               book::Claims claims = {1, "governor"}, record::Writer* record = nullptr);
   ~LiveGovernor() override;
-  void stop();
+  void stop() { desk_.stop(); }
 
   // The list, from one source. The replicas' kinds and zones must be known to the configuration.
   void list_taken(const list::Roll::Taken& taken);
@@ -84,23 +78,15 @@
   Standing standing() const;
 
  private:
-  void set_line(TableId table, ReplicaId replica, double weight) override;
-  void clear_table(TableId table) override;
-  void bind(ProxyId proxy, TableId table, ClassMask classes) override;
-  void withdraw(ReplicaId replica, bool out) override;
-  void set_level(TableId table, ClassMask classes, double level, Retry retry) override;
-  void mark(MarkId mark, bool reach_all) override;
-  void arm(Nanos from_now, TimerId timer) override;
+  void ordered(Nanos now, const std::optional<book::OrderBook::Published>& published,
+               const std::vector<std::pair<MarkId, bool>>& marks) override;
+  void withdrawn(ReplicaId replica, bool out) override;
+  void probe(ReplicaId replica) override;
   void watch_list(bool on) override;
   void look_up_list() override;
-  void probe(ReplicaId replica) override;
   void tell(std::optional<PeerId> peer, std::string_view message) override;
   void log(std::string_view line) override;
 
-  // Takes the lock, makes the call at the present time, publishes what it ordered.
-  template <typename Call>
-  void call(Call made);
-  void publish(Nanos now);
   void publish_out(Nanos now);
   // Brings the module's view of who has joined up to that of the clients, whoever was faster to change it.
   void settle(ProxyId proxy);
@@ -112,19 +98,13 @@
   bool changes_hands(Nanos now, ProxyId proxy, const book::Met& met);
   void note_way_back(Nanos now, ProxyId proxy, const std::vector<std::string>& instead);
   void note_fault(ProxyId proxy, const std::string& why);
-  void keep_time();
+  void sweep();
   std::vector<front::Entry> entries_for(std::optional<ZoneId> zone, std::optional<ProxyId> but) const;
 
   const config::Config& config_;
   World& world_;
-  const Clock clock_;
-
-  // The governor's lock: the module, its orders, its timers. Never held while anything is read or written.
-  mutable std::mutex lock_;
-  std::unique_ptr<record::Tap> governor_;
-  book::OrderBook book_;
-  Timers timers_;
-  std::vector<std::pair<MarkId, bool>> marks_;  // of the call being made
+
+  // With the desk's lock held.
   names::NameTable<ReplicaId> replicas_;
   names::NameTable<CellId> cells_;
   std::vector<Phase> phases_;
@@ -132,7 +112,7 @@
   std::set<ReplicaId> withdrawn_;
   bool out_changed_ = false;
 
-  // What fronts read without that lock; each held for a few instructions. Order: lock_ before these.
+  // What fronts read without that lock; each held for a few instructions. Order: the desk's before these.
   mutable std::mutex clients_lock_;
   lifetime::Clients clients_;
   mutable std::mutex handouts_lock_;
@@ -146,9 +126,8 @@
   std::shared_ptr<const front::Directory> directory_ = std::make_shared<front::Directory>();
   std::vector<std::string> out_;
 
-  std::condition_variable time_changed_;
-  bool stopping_ = false;
-  net::Thread timekeeper_;
+  // The last one: the module acts on all of the above from its first moment.
+  Desk desk_;
 };
 
 }  // namespace ospreypost::governor
--- a/src/sources/registry.cpp
+++ b/src/sources/registry.cpp
@@ -14,9 +14,6 @@
 using nlohmann::json;
 
 constexpr std::size_t kMostLine = std::size_t{8} << 20;  // bytes
-constexpr auto kConnect = 1s;
-// An empty line comes every 2 s while nothing changes.
-constexpr auto kSilence = 5s;
 constexpr auto kFirstPause = 50ms, kLongestPause = 1000ms;
 
 std::string text_at(const json& entry, const char* key) {
@@ -87,8 +84,8 @@
   return roster;
 }
 
-Registry::Registry(const net::Address& address, std::uint64_t revision, RegistrySink& sink)
-    : sink_(sink), revision_(revision), address_(address) {
+Registry::Registry(const net::Address& address, std::uint64_t revision, RegistrySink& sink, Waits waits)
+    : sink_(sink), waits_(waits), revision_(revision), address_(address) {
   thread_ = net::Thread("registry", [this] { work(); });
 }
 
@@ -142,7 +139,7 @@
 }
 
 void Registry::watch(const net::Address& address) {
-  auto socket = net::connect(address, net::Steady::now() + kConnect);
+  auto socket = net::connect(address, net::Steady::now() + waits_.connect);
   const int descriptor = socket.get();
   {
     const std::lock_guard held(lock_);
@@ -161,8 +158,8 @@
   http::Request request;
   request.target = "/registry/instances?watch=1";
   if (!whole_) request.target += "&after=" + std::to_string(revision_);
-  connection.write(request, address.text(), net::Steady::now() + kConnect);
-  connection.read_lines(kMostLine, kSilence, [this](std::string_view line) { take(line); });
+  connection.write(request, address.text(), net::Steady::now() + waits_.connect);
+  connection.read_lines(kMostLine, waits_.silence, [this](std::string_view line) { take(line); });
 }
 
 void Registry::take(std::string_view line) {
--- a/src/sources/registry.h
+++ b/src/sources/registry.h
@@ -48,8 +48,16 @@
 // Watches until stopped, and dials again whenever a watch ends, is silent or can't be read.
 class Registry {
  public:
+  struct Waits {
+    net::Steady::duration connect =
+        std::chrono::seconds(1);  // for a connection, and for the question to leave
+    // After so long without a byte the watch is dead: an empty line comes every 2 s while nothing changes.
+    net::Steady::duration silence = std::chrono::seconds(5);
+  };
   // `revision`: of the list that is known already.
-  Registry(const net::Address& address, std::uint64_t revision, RegistrySink& sink);
+  Registry(const net::Address& address, std::uint64_t revision, RegistrySink& sink)
+      : Registry(address, revision, sink, Waits{}) {}
+  Registry(const net::Address& address, std::uint64_t revision, RegistrySink& sink, Waits waits);
   ~Registry() { stop(); }
   // Dials there at once.
   void move_to(const net::Address& address);
@@ -64,6 +72,7 @@
   void interrupt();
 
   RegistrySink& sink_;
+  const Waits waits_;
   std::uint64_t revision_;
   bool whole_ = false;  // ask without a revision
   std::mutex lock_;     // of what follows; held for a few instructions
--- /dev/null
+++ b/tests/program/platform_service_test.cpp
@@ -0,0 +1,190 @@
+// The platform's door on loopback, with scripted peers: strangers, second streams, spoilt reports, discovery.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include <deque>
+
+#include "http/http.h"
+#include "platform/service.h"
+#include "program/platform_support.h"
+
+namespace ospreypost::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using Words = std::vector<std::string>;
+
+// Discovery by script: takes one watch after the other and says what it is told to say.
+class Discovery {
+ public:
+  Discovery() : listener_(net::listen_tcp({"127.0.0.1", 0}, 8)) {}
+  std::string address() const { return net::local_address(listener_).text(); }
+  // The target of the next watch, whose answer begins.
+  std::string next_watch() {
+    auto accepted = net::accept(listener_, net::Steady::now() + 10s);
+    if (!accepted) return "nobody came";
+    watch_ = std::make_unique<http::Connection>(std::move(accepted->first));
+    const auto request = watch_->read_request({});
+    write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
+    return request ? request->target : "";
+  }
+  void say(const std::string& line) {
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", line.size() + 1);
+    write(size);
+    // In pieces, as networks deliver them.
+    write(line.substr(0, line.size() / 2));
+    write(line.substr(line.size() / 2) + "\n\r\n");
+  }
+  bool is_left() const { return !watch_->is_open(); }
+
+ private:
+  void write(const std::string& bytes) {
+    net::write_fully(watch_->socket(), bytes, net::Steady::now() + 10s);
+  }
+  net::Socket listener_;
+  std::unique_ptr<http::Connection> watch_;
+};
+
+struct Platform : testing::Test {
+  Discovery discovery;
+  Environment environment = parse_environment(test::platform_config(discovery.address()), "test");
+  Service service{environment, std::make_shared<spdlog::logger>("test")};
+  net::Address at = service.address();
+
+  // Lines of the next push that has any, by replica.
+  static std::map<std::string, std::string> lines_of(test::Peer& peer) {
+    std::map<std::string, std::string> lines;
+    for (Words words; lines.empty() && !(words = peer.hear()).empty();) {
+      for (std::size_t n = 1; n + 1 < words.size(); n += 2) {
+        if (words[n] != "endpoints") continue;
+        for (std::string rest = words[n + 1] + ","; !rest.empty(); rest = rest.substr(rest.find(',') + 1)) {
+          const auto colon = rest.find(':');
+          lines[rest.substr(0, colon)] = rest.substr(colon + 1, rest.find(',') - colon - 1);
+        }
+      }
+    }
+    return lines;
+  }
+};
+
+TEST_F(Platform, GivesASignOfLifeAndAJoiningProxyItsTable) {
+  test::Peer peer(at);
+  peer.say({"probe"});
+  EXPECT_EQ(peer.hear(), Words{"alive"});
+  peer.hello("3");
+  const auto push = peer.hear();
+  ASSERT_GE(push.size(), 5u);
+  EXPECT_EQ((Words{push[0], push[1], push[2], push[3]}), (Words{"push", "full", "1", "endpoints"}));
+  EXPECT_EQ(std::count(push[4].begin(), push[4].end(), ':'), 3);
+}
+
+TEST_F(Platform, StrangersAreRefusedAndProxiesStillGetIn) {
+  for (const std::string_view bytes :
+       {"GET / HTTP/1.1\r\n\r\n", "*1\r\n$999999999\r\n", "*99\r\n", "\r\n", "*1\r\n$5\r\ndance\r\n",
+        "*3\r\n$4\r\npush\r\n$4\r\nfull\r\n$1\r\n1\r\n",
+        "*9\r\n$5\r\nhello\r\n$2\r\nid\r\n$2\r\n99\r\n$4\r\nsite\r\n$4\r\neast\r\n$3\r\nrps\r\n$1\r\n1\r\n$"
+        "3\r\nnew\r\n$1\r\n1\r\n",
+        "*7\r\n$3\r\nack\r\n$2\r\nid\r\n$1\r\n3\r\n$3\r\nseq\r\n$1\r\n3\r\n$2\r\nms\r\n$1\r\n3\r\n"}) {
+    test::Peer stranger(at);
+    stranger.say_raw(bytes);
+    const auto answer = stranger.hear();
+    EXPECT_TRUE(answer.empty() || answer.front() == "error") << bytes;
+  }
+  // More silent ones and halves of messages than there is room for: the oldest give way.
+  std::deque<test::Peer> silent;
+  for (int n = 0; n < 90; ++n) {
+    silent.emplace_back(at);
+    if (n % 2 == 0) silent.back().say_raw("*2\r\n$5\r\nhel");
+  }
+  test::Peer proxy(at);
+  proxy.hello("1");
+  EXPECT_EQ(lines_of(proxy).size(), 3u);
+  // And none is held for long.
+  for (auto& one : silent) {
+    const auto answer = one.hear();
+    EXPECT_TRUE(answer.empty() || answer.front() == "error");
+  }
+  proxy.say({"probe"});
+  EXPECT_EQ(proxy.hear(), Words{"alive"}) << "whoever joined stays";
+}
+
+TEST_F(Platform, ASecondStreamReplacesTheFirstWhoseEndSaysNothing) {
+  discovery.next_watch();
+  test::Peer first(at);
+  first.hello("3");
+  EXPECT_EQ(lines_of(first).size(), 3u);
+  test::Peer second(at);
+  second.hello("3");
+  EXPECT_EQ(lines_of(second).size(), 3u);
+  for (Words words; !(words = first.hear()).empty();) EXPECT_EQ(words.front(), "push");
+  discovery.say(test::roster(42, false, test::member("s-2", "DRAINING")));
+  EXPECT_EQ(lines_of(second)["s-2"], "0");
+}
+
+TEST_F(Platform, SpoiltReportsCostNothingButThemselvesAndGarbageItsStream) {
+  test::Peer proxy(at);
+  proxy.hello("3");
+  EXPECT_EQ(lines_of(proxy).size(), 3u);
+  proxy.say(
+      {"outcomes", "site", "east", "target", "s-9", "count", "1", "fail", "0", "mean", "nan", "over", "0"});
+  proxy.say({"ack", "id", "3"});
+  proxy.say({"dance"});
+  proxy.say({"probe"});
+  EXPECT_EQ(proxy.hear(), Words{"alive"});
+  test::Peer collector(at);
+  collector.say({"agent", "site", "west"});
+  collector.say({"outcomes", "site", "moon"});
+  collector.say({"probe"});
+  EXPECT_EQ(collector.hear(), Words{"alive"});
+  proxy.say_raw("?\r\n");
+  EXPECT_TRUE(proxy.hear().empty());
+  test::Peer again(at);
+  again.hello("3");
+  EXPECT_EQ(lines_of(again).size(), 3u);
+}
+
+TEST_F(Platform, DiscoveryIsFollowedWhereTheNewConfigurationNamesIt) {
+  EXPECT_EQ(discovery.next_watch(), "/registry/instances?watch=1&after=41");
+  test::Peer proxy(at);
+  proxy.hello("3");
+  EXPECT_EQ(lines_of(proxy).size(), 3u);
+  discovery.say("");
+  discovery.say(test::roster(43, false, test::member("s-1", "DRAINING")));
+  EXPECT_EQ(lines_of(proxy)["s-1"], "0");
+  Discovery other;
+  auto renewed = environment;
+  renewed.discovery = net::Address::parse(other.address());
+  service.renew(renewed);
+  EXPECT_EQ(other.next_watch(), "/registry/instances?watch=1&after=43");
+  EXPECT_TRUE(discovery.is_left());
+  other.say(test::roster(44, false, test::member("s-2", "DELETED")));
+  EXPECT_EQ(lines_of(proxy)["s-2"], "0");
+}
+
+TEST_F(Platform, AListThatGoesBackOrCannotBeReadIsAskedForAnew) {
+  discovery.next_watch();
+  discovery.say(test::roster(7, false, test::member("s-1", "DELETED")));
+  EXPECT_EQ(discovery.next_watch(), "/registry/instances?watch=1") << "changes to another list";
+  test::Peer proxy(at);
+  proxy.hello("3");
+  EXPECT_EQ(lines_of(proxy).size(), 3u) << "and nothing was taken from them";
+  discovery.say(test::roster(8, true, test::member("s-1") + "," + test::member("s-2")));
+  EXPECT_EQ(lines_of(proxy)["s-3"], "0") << "whom a whole list leaves out is gone";
+  discovery.say("no list");
+  EXPECT_EQ(discovery.next_watch(), "/registry/instances?watch=1&after=8");
+}
+
+TEST(Registry, ASilentOneIsDialledAgain) {
+  struct Sink : sources::RegistrySink {
+    void roster_received(const sources::Roster&) override {}
+    void registry_silent(const std::string&) override {}
+  } sink;
+  Discovery discovery;
+  sources::Registry registry(net::Address::parse(discovery.address()), 5, sink, {1s, 50ms});
+  EXPECT_EQ(discovery.next_watch(), "/registry/instances?watch=1&after=5");
+  EXPECT_EQ(discovery.next_watch(), "/registry/instances?watch=1&after=5") << "nothing came on the first";
+}
+
+}  // namespace
+}  // namespace ospreypost::platform
--- /dev/null
+++ b/tests/program/platform_support.h
@@ -0,0 +1,76 @@
+// What the tests of the platform's door share: a configuration, a list, a scripted peer on loopback.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/socket.h"
+#include "resp/resp.h"
+
+namespace ospreypost::test {
+
+inline std::string member(const std::string& id, const std::string& phase = "SERVING",
+                          const std::string& address = "127.0.0.1:9", const std::string& since = "0") {
+  return R"({"id":")" + id + R"(","host_port":")" + address +
+         R"(","locality":"east","flavor":"new","cell":1,"phase":")" + phase +
+         R"(","size":1.0,"up_since_ms":)" + since + "}";
+}
+
+inline std::string roster(int revision, bool complete, const std::string& members) {
+  return R"({"revision":)" + std::to_string(revision) + R"(,"complete":)" + (complete ? "true" : "false") +
+         R"(,"members":[)" + members + "]}";
+}
+
+// Two zones, two classes, ten proxies, three replicas; ports of the system's choice.
+inline std::string platform_config(const std::string& discovery = "127.0.0.1:9") {
+  return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + discovery +
+         R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":32,"sockets":96},
+"known":)" +
+         roster(41, true, member("s-1") + "," + member("s-2") + "," + member("s-3")) +
+         R"(,"settings":{"quantum-s":0.001,"azs":["east","west"],"skus":["new"],"zone":0,"n-instances":1,
+"membership-mode":"automatic","allowed":{"may-probe":true,"peers":false},
+"report":{"via":"piggyback","columns":["util"]},
+"classes":[{"name":"read","effect":"idempotent","on-time-s":1.0,"deadline-s":3.0,"worth":1.0},
+{"name":"sign","effect":"at_most_once","on-time-s":1.0,"deadline-s":2.0,"worth":4.0,"late-value":0.2}],
+"contract":{"ask-within-s":10.0,"stop-sending-within-s":3.0,"cold-from":0.25,"cold-s":8.0,"tip-multiple":2.5,"fall-s":3.0},
+"family-info":{"admit":"share","selects-by":"round","home-only":[false,false],"proxy-count":10,"zonal":false,"ranges":0,
+"exclusive":false,"report-every-s":1.0,"transit-max-s":0.1,"bare-s":5.0,"channel-rate":5000.0,"most-waiting":10000.0,
+"head":6.0,"pushes-allowed":12,"counted-over-s":10.0,"default-retry":1}}})";
+}
+
+// One end of a connection to the governor. Reads wait for a bounded time, and a test fails where nothing
+// comes.
+class Peer {
+ public:
+  explicit Peer(const net::Address& to) : socket_(net::connect(to, soon())) {}
+  void say(const std::vector<std::string_view>& words) {
+    std::string bytes;
+    resp::write(bytes, words);
+    say_raw(bytes);
+  }
+  void say_raw(std::string_view bytes) { net::write_fully(socket_, bytes, soon()); }
+  void hello(const std::string& id) { say({"hello", "id", id, "site", "east", "rps", "20.5", "new", "1"}); }
+  // The next message; empty if the governor closed or reset.
+  std::vector<std::string> hear() {
+    for (;;) {
+      if (const auto words = reader_.next()) return {words->begin(), words->end()};
+      char piece[4096];
+      std::size_t got = 0;
+      try {
+        got = net::read_some(socket_, piece, soon());
+      } catch (const net::Error& error) {
+        if (std::string_view(error.what()) == "nothing came in time") throw;
+      }
+      if (got == 0) return {};
+      reader_.put({piece, got});
+    }
+  }
+
+ private:
+  static net::Deadline soon() { return net::Steady::now() + std::chrono::seconds(10); }
+  net::Socket socket_;
+  resp::Reader reader_{{std::size_t{1} << 20, 4096}};
+};
+
+}  // namespace ospreypost::test
--- /dev/null
+++ b/tests/program/platform_test.cpp
@@ -0,0 +1,452 @@
+// The pure parts of the platform's door, each beside a slow plain model: framing, messages, places, the
+// channel.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "book/order_book.h"
+#include "config/xml.h"
+#include "platform/channel.h"
+#include "platform/environment.h"
+#include "platform/messages.h"
+#include "platform/places.h"
+#include "program/platform_support.h"
+
+namespace ospreypost::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using Words = std::vector<std::string>;
+
+// --- Framing
+
+// Reads a byte at a time, and knows no shortcut.
+struct PlainReader {
+  resp::Limits limits;
+  std::vector<Words> messages;
+  Words words;
+  std::string line, rest;
+  std::size_t count = 0, bytes = 0;
+  enum { array, size, body } at = array;
+  bool malformed = false;
+
+  void put(char c) {
+    if (malformed) return;
+    ++bytes;
+    if (at == body) {
+      rest += c;
+      if (rest.size() == count + 1 && c != '\r') malformed = true;
+      if (rest.size() < count + 2) return;
+      if (c != '\n') malformed = true;
+      words.push_back(rest.substr(0, count));
+      at = size;
+      if (words.size() == wanted) messages.push_back(words), words.clear(), bytes = 0, at = array;
+      return;
+    }
+    line += c;
+    if (line.front() != (at == array ? '*' : '$')) malformed = true;
+    if (line.size() > 11 || bytes > limits.bytes + 11) malformed = true;
+    const bool ends = line.size() >= 2 && line.substr(line.size() - 2) == "\r\n";
+    const auto digits = line.substr(1, line.find('\r') - 1);
+    if (digits.find_first_not_of("0123456789") != std::string::npos) malformed = true;
+    if (digits.empty() && line.find('\r') != std::string::npos) malformed = true;
+    if (line.find('\r') != std::string::npos && line.find('\r') + 1 < line.size() && !ends) malformed = true;
+    if (digits.size() > 8) malformed = true;
+    if (!ends || malformed) return;
+    count = std::stoul(digits);
+    line.clear();
+    rest.clear();
+    if (at == array) {
+      wanted = count;
+      malformed = count == 0 || count > limits.words;
+      at = size;
+    } else {
+      malformed = bytes > limits.bytes || count > limits.bytes - bytes;
+      at = body;
+    }
+  }
+  std::size_t wanted = 0;
+};
+
+RC_GTEST_PROP(Resp, ReadsWhatAPlainReaderReadsHoweverTheBytesArrive, ()) {
+  const resp::Limits limits{200, 8};
+  std::string bytes;
+  for (int n = *rc::gen::inRange(0, 4); n > 0; --n) {
+    const auto words = *rc::gen::nonEmpty(rc::gen::container<Words>(rc::gen::string<std::string>()));
+    resp::write(bytes, {words.begin(), words.end()});
+  }
+  // Mostly sound, sometimes with a byte changed.
+  if (!bytes.empty() && *rc::gen::inRange(0, 2) == 0)
+    bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+        *rc::gen::element('*', '$', '\r', '\n', '0', '9', '-');
+  PlainReader plain;
+  plain.limits = limits;
+  for (const char c : bytes) plain.put(c);
+
+  resp::Reader reader(limits);
+  std::vector<Words> messages;
+  bool malformed = false;
+  for (std::size_t at = 0; at < bytes.size() && !malformed;) {
+    const auto piece = *rc::gen::inRange<std::size_t>(1, bytes.size() - at + 1);
+    reader.put(std::string_view(bytes).substr(at, piece));
+    at += piece;
+    try {
+      while (const auto words = reader.next()) messages.emplace_back(words->begin(), words->end());
+    } catch (const resp::Malformed&) {
+      malformed = true;
+    }
+  }
+  RC_ASSERT(messages == plain.messages);
+  RC_ASSERT(malformed == plain.malformed);
+}
+
+TEST(Resp, RefusesALengthBeforeItsBytesCome) {
+  resp::Reader reader({1000, 8});
+  reader.put("*1\r\n$99999999\r\n");
+  EXPECT_THROW(reader.next(), resp::Malformed);
+  resp::Reader web;
+  web.put("GET / HTTP/1.1\r\n");
+  EXPECT_THROW(web.next(), resp::Malformed);
+  resp::Reader endless;
+  endless.put("*1111111111111");
+  EXPECT_THROW(endless.next(), resp::Malformed);
+}
+
+// --- Messages
+
+struct Heard : Told {
+  std::string all;
+  ReplicaSum sum;
+  Demand demand;
+  Nanos took{};
+  void asked_for_life() override { all += "life "; }
+  void proxy_said_hello(ProxyId, ZoneId, double, bool) override { all += "hello "; }
+  void collector_said_hello(ZoneId) override { all += "agent "; }
+  void replica_summed(const ReplicaSum& told) override { all += "sum ", sum = told; }
+  void demand_summed(ProxyId, const Demand& told) override { all += "demand ", demand = told; }
+  void mark_answered(ProxyId, std::uint64_t, Nanos told) override { all += "mark ", took = told; }
+};
+
+Vocabulary vocabulary() {
+  Vocabulary known{{"read", "sign"}, {"east", "west"}, {"inflight", "util"}, 10, {}};
+  known.replica_of = [](std::string_view name) {
+    return name == "s-1" ? std::optional(ReplicaId{7}) : std::nullopt;
+  };
+  return known;
+}
+
+// What was told, or "spoilt".
+std::string told(const std::string& line, Party from, Heard& heard) {
+  Words words;
+  for (std::size_t at = 0; at <= line.size();) {
+    const auto end = std::min(line.find(' ', at), line.size());
+    words.push_back(line.substr(at, end - at));
+    at = end + 1;
+  }
+  try {
+    read_message({words.begin(), words.end()}, vocabulary(), from,
+                 from == Party::proxy ? std::optional(ProxyId{3}) : std::nullopt, heard);
+  } catch (const Spoilt&) {
+    return heard.all.empty() ? "spoilt" : "spoilt, but told";
+  }
+  return heard.all;
+}
+std::string told(const std::string& line, Party from) {
+  Heard heard;
+  return told(line, from, heard);
+}
+
+TEST(Messages, SoundOnesAreTold) {
+  Heard heard;
+  EXPECT_EQ(
+      told("outcomes site west target s-1 count 9 fail 2 mean 41.5 over 1000.0 util util:0.5,inflight:7",
+           Party::collector, heard),
+      "sum ");
+  EXPECT_EQ(heard.sum.replica, ReplicaId{7});
+  EXPECT_EQ(heard.sum.zone, ZoneId{1});
+  EXPECT_EQ(heard.sum.mean_time, 41500us);
+  EXPECT_EQ(heard.sum.span, 1s);
+  EXPECT_EQ(heard.sum.load, (std::vector<float>{7, 0.5}));
+  EXPECT_EQ(told("outcomes site east target s-1 count 3 fail 3 over 1000", Party::proxy), "sum ");
+  // Failures are counted when they end, arrivals when they come.
+  EXPECT_EQ(told("demand id 3 lane sign count 1 fail 4 over 900", Party::proxy, heard), "sum demand ");
+  EXPECT_EQ(heard.demand.cls, ClassId{1});
+  EXPECT_EQ(told("ack id 3 seq 905 ms 310.4", Party::proxy), "mark ");
+  EXPECT_EQ(told("hello id 9 site east rps 0 new 0", Party::stranger), "hello ");
+  EXPECT_EQ(told("agent site east", Party::stranger), "agent ");
+  EXPECT_EQ(told("probe", Party::stranger), "life ");
+}
+
+TEST(Messages, SpoiltOnesAreRefusedWhole) {
+  const std::string sum = "outcomes site east target s-1 count 9 fail 2 mean 41 over 1000";
+  for (const std::string field : {"site", "target", "count", "fail", "mean", "over"}) {
+    const auto at = sum.find(" " + field + " ");
+    const auto value = at + field.size() + 2;
+    const auto end = std::min(sum.find(' ', value), sum.size());
+    EXPECT_EQ(told(sum.substr(0, at) + sum.substr(end), Party::proxy), "spoilt") << "without " << field;
+    for (const char* wrong : {"", "nan", "inf", "-1", "1e99", "x", "99999999999999999999", "7seven"}) {
+      EXPECT_EQ(told(sum.substr(0, value) + wrong + sum.substr(end), Party::proxy), "spoilt")
+          << field << " is '" << wrong << "'";
+    }
+  }
+  for (const char* wrong : {"util:", "util:nan", "util:-1", "util:99,inflight:1", "util:0.5", "speed:1", "7",
+                            "inflight:1,util:x", "inflight:-1,util:0.5"}) {
+    EXPECT_EQ(told(sum + " util " + wrong, Party::proxy), "spoilt") << wrong;
+  }
+  EXPECT_EQ(told("outcomes site east target s-1 count 9 fail 10 mean 41 over 1000", Party::proxy), "spoilt");
+  EXPECT_EQ(told("outcomes site east target s-1 count 9 fail 2 mean 41 over 0", Party::proxy), "spoilt");
+  EXPECT_EQ(told(sum + " over 1000", Party::proxy), "spoilt") << "a field twice";
+  EXPECT_EQ(told(sum + " over", Party::proxy), "spoilt") << "a field without a value";
+  for (const char* line :
+       {"demand id 3 lane dance count 1 fail 0 over 900", "demand id 4 lane sign count 1 fail 0 over 9",
+        "demand id 3 lane sign count 1.5 fail 0 over 900", "ack id 3 seq x ms 1", "ack id 3 seq 1",
+        "ack id 3 seq 1 ms -1", "hello id 4 site east rps 1 new 1", "push full 1", "agent site east",
+        "dance"}) {
+    EXPECT_EQ(told(line, Party::proxy), "spoilt") << line;
+  }
+  for (const char* line : {"hello id 10 site east rps 1 new 1", "hello id 3 site north rps 1 new 1",
+                           "hello id 3 site east rps 1 new 2", "agent site north", "ack id 3 seq 1 ms 1",
+                           "demand id 3 lane sign count 1 fail 0 over 900", "push full 1"}) {
+    EXPECT_EQ(told(line, Party::stranger), "spoilt") << line;
+  }
+  EXPECT_EQ(told("ack id 3 seq 1 ms 1", Party::collector), "spoilt");
+}
+
+TEST(Messages, ALoadReportIsReadByItsColumns) {
+  EXPECT_EQ(read_report("TEXT inflight=7, util=0.61\n", {"inflight", "util"}),
+            (std::vector<float>{7, 0.61f}));
+  EXPECT_TRUE(read_report("", {"util"}).empty());
+  EXPECT_THROW(read_report("TEXT util=high", {"util"}), Spoilt);
+}
+
+// --- Places
+
+TEST(Places, NumbersAreGivenOnceAndStartsAreOneStart) {
+  Places places({"east"}, {"new"}, -100s);
+  const auto first = places.take(sources::parse_roster(test::roster(
+      1, true, test::member("a") + "," + test::member("b", "SERVING", "127.0.0.1:9", "150000"))));
+  ASSERT_EQ(first.entries.size(), 2u);
+  EXPECT_EQ(first.entries[1].started, 50s);
+  const auto a = *places.find("a"), b = *places.find("b");
+  // Whoever a whole list leaves out is gone, and no later one gets its number.
+  const auto second =
+      places.take(sources::parse_roster(test::roster(2, true, test::member("b", "DRAINING"))));
+  EXPECT_EQ(second.out.size(), 2u);
+  EXPECT_EQ(places.gone(), std::vector<ReplicaId>{a});
+  places.let_go(a);
+  EXPECT_EQ(places.size(), 1u);
+  EXPECT_EQ(places.place(a), nullptr);
+  places.take(sources::parse_roster(test::roster(3, false, test::member("a"))));
+  EXPECT_NE(*places.find("a"), a);
+  EXPECT_EQ(*places.find("b"), b);
+  // Of a zone that the settings don't have, nothing can be said.
+  const auto odd = places.take(sources::parse_roster(
+      R"({"revision":4,"complete":false,"members":[{"id":"c","host_port":"127.0.0.1:9","locality":"moon","flavor":"new","cell":1,"phase":"SERVING","size":1,"up_since_ms":0}]})"));
+  EXPECT_EQ(odd.refused, 1u);
+  EXPECT_FALSE(places.find("c"));
+}
+
+TEST(Places, AListThatCannotBeReadIsNone) {
+  for (const std::string text : {"", "[]", "{", R"({"revision":-1,"complete":true,"members":[]})",
+                                 R"({"revision":1,"members":[]})", R"({"revision":1,"complete":true})"})
+    EXPECT_THROW(sources::parse_roster(text), net::Error) << text;
+  const auto some = sources::parse_roster(
+      test::roster(1, true,
+                   test::member("a") + R"(,{"id":7},)" + test::member("b", "DANCING") + "," +
+                       test::member("a") + "," + test::member("c", "SERVING", "nowhere")));
+  EXPECT_EQ(some.members.size(), 1u);
+  EXPECT_EQ(some.refused, 4u);
+}
+
+// --- The channel
+
+// Applies what is written on its stream, as the platform's page says.
+struct PlainProxy {
+  struct Table {
+    std::map<std::string, double> lines;
+    std::pair<std::string, std::string> terms{"1", "1"};
+  };
+  std::map<std::string, Table> tables{{"read", {}}, {"sign", {}}};
+  std::size_t lines = 0;
+  std::string nonce;
+
+  void apply(const std::string& bytes) {
+    resp::Reader reader({std::size_t{1} << 20, 4096});
+    reader.put(bytes);
+    bool more = false;
+    while (const auto words = reader.next()) {
+      std::map<std::string, std::string> fields;
+      for (std::size_t n = 1; n + 1 < words->size(); n += 2)
+        fields[std::string((*words)[n])] = (*words)[n + 1];
+      std::vector<Table*> meant;
+      for (auto& [name, table] : tables) {
+        if (!fields.contains("routes") ||
+            ("+" + fields["routes"] + "+").find("+" + name + "+") != std::string::npos)
+          meant.push_back(&table);
+      }
+      for (auto* table : meant) {
+        if (fields.contains("full")) *table = {};
+        for (std::string rest = fields["endpoints"] + ","; rest.size() > 1;
+             rest = rest.substr(rest.find(',') + 1)) {
+          const auto colon = rest.find(':');
+          const double weight = std::stod(rest.substr(colon + 1));
+          weight > 0 ? void(table->lines[rest.substr(0, colon)] = weight)
+                     : void(table->lines.erase(rest.substr(0, colon)));
+        }
+        if (fields.contains("admit")) table->terms = {fields["admit"], fields["policy"]};
+      }
+      const auto endpoints = fields["endpoints"];
+      lines += fields.contains("full") + (fields.contains("admit") ? meant.size() : 0) +
+               fields.contains("nonce_out") +
+               (endpoints.empty() ? 0 : 1 + std::count(endpoints.begin(), endpoints.end(), ','));
+      if (fields.contains("nonce_out")) nonce = fields["nonce_out"];
+      more = fields.contains("continued");
+    }
+    RC_ASSERT(!more);
+  }
+};
+
+RC_GTEST_PROP(Channel, AProxyHoldsWhatTheBookSaysWhateverCameBefore, ()) {
+  constexpr std::size_t proxies = 3, replicas = 5;
+  const auto name_of = [](ReplicaId id) {
+    static const Words names{"s-0", "s-1", "s-2", "s-3", "s-4"};
+    return std::string_view(names.at(static_cast<std::size_t>(id)));
+  };
+  book::OrderBook book(2);
+  Channel channel({"read", "sign"}, Retry::after_proof);
+  std::map<std::size_t, PlainProxy> joined;
+  std::map<ProxyId, std::shared_ptr<const book::Holding>> holdings;
+  for (int step = *rc::gen::inRange(1, 60); step > 0; --step) {
+    const auto p = *rc::gen::inRange<std::size_t>(0, proxies);
+    const ProxyId proxy{static_cast<std::uint16_t>(p)};
+    const ReplicaId replica{*rc::gen::inRange<std::uint32_t>(0, replicas)};
+    const TableId table{*rc::gen::inRange<std::uint16_t>(0, 2)};
+    const auto classes = *rc::gen::inRange<ClassMask>(0, 4);
+    switch (*rc::gen::inRange(0, 8)) {
+      case 0:
+        book.joined(proxy);
+        channel.joined(proxy);
+        // It may bring along anything.
+        joined[p] = {};
+        joined[p].tables["read"].lines = {{"s-4", 3.0}};
+        joined[p].tables["sign"].terms = {"0.5", "3"};
+        break;
+      case 1:
+        book.left(proxy);
+        channel.left(proxy);
+        joined.erase(p);
+        break;
+      case 2:
+        book.bind(proxy, table, classes);
+        break;
+      case 3:
+        book.withdraw(replica, *rc::gen::arbitrary<bool>());
+        break;
+      case 4:
+        book.set_level(*rc::gen::arbitrary<bool>() ? kEveryTable : table, classes,
+                       *rc::gen::element(0.0, 0.25, 1.0),
+                       *rc::gen::element(Retry::none, Retry::after_proof, Retry::twice));
+        break;
+      default:
+        book.set_line(table, replica, *rc::gen::element(0.0, 0.5, 1.0, 2.25));
+    }
+    if (*rc::gen::inRange(0, 3) > 0) continue;  // several calls, one message
+    if (const auto published = book.publish(Nanos{})) {
+      holdings.clear();
+      for (const auto& [id, holding] : published->version->holdings) holdings[id] = holding;
+      for (const auto& pending : published->pending) channel.ordered(pending.proxy, holdings[pending.proxy]);
+    }
+    const auto due = channel.due();
+    for (const auto id : due) {
+      // Who reads slowly gets one message of all that stands by then.
+      if (*rc::gen::inRange(0, 4) == 0) continue;
+      auto& plain = joined.at(static_cast<std::size_t>(id));
+      const auto before = plain.lines;
+      const auto message = channel.next(id, name_of);
+      plain.apply(message.bytes);
+      RC_ASSERT(plain.lines - before == message.lines);
+    }
+    for (const auto& [p2, plain] : joined) {
+      const ProxyId id{static_cast<std::uint16_t>(p2)};
+      if (channel.due().contains(id) || !holdings.contains(id)) continue;
+      for (std::size_t k = 0; k < 2; ++k) {
+        const auto view = holdings[id]->views[k];
+        if (!view) continue;
+        std::map<std::string, double> lines;
+        for (const auto& line : view->lines) lines[std::string(name_of(line.replica))] = line.weight;
+        const auto& table = plain.tables.at(k == 0 ? "read" : "sign");
+        RC_ASSERT(table.lines == lines);
+        RC_ASSERT(std::stod(table.terms.first) == view->terms[k].level);
+        RC_ASSERT(table.terms.second == std::to_string(static_cast<int>(view->terms[k].retry)));
+      }
+    }
+  }
+}
+
+TEST(Channel, TwoMarksOfOneMessageAreBothAnswered) {
+  Channel channel({"read", "sign"}, Retry::after_proof);
+  const ProxyId proxy{1};
+  channel.joined(proxy);
+  channel.marked(proxy, MarkId{4});
+  channel.marked(proxy, MarkId{9});
+  PlainProxy plain;
+  plain.apply(channel.next(proxy, [](ReplicaId) { return std::string_view("s"); }).bytes);
+  EXPECT_TRUE(channel.answered(proxy, 77).empty()) << "an answer to what was never asked";
+  EXPECT_EQ(channel.answered(proxy, std::stoul(plain.nonce)), (std::vector<MarkId>{MarkId{4}, MarkId{9}}));
+  EXPECT_TRUE(channel.answered(proxy, std::stoul(plain.nonce)).empty());
+}
+
+TEST(Channel, WhatIsOutLeavesTheLinesOfThoseWhoWaitForATable) {
+  Channel channel({"read", "sign"}, Retry::after_proof);
+  channel.joined(ProxyId{1});
+  channel.out({ReplicaId{2}});
+  PlainProxy plain;
+  plain.tables["read"].lines = {{"s-2", 1.0}, {"s-3", 1.0}};
+  plain.apply(channel.next(ProxyId{1}, [](ReplicaId) { return std::string_view("s-2"); }).bytes);
+  EXPECT_EQ(plain.tables["read"].lines, (std::map<std::string, double>{{"s-3", 1.0}}));
+  // A name that was let go is never written: a proxy would break with us for it.
+  channel.out({ReplicaId{4}});
+  EXPECT_EQ(channel.next(ProxyId{1}, [](ReplicaId) { return std::string_view(); }).lines, 0u);
+}
+
+// --- The configuration
+
+TEST(Environment, IsReadWithTheSettingsOfTheSimulatorsWire) {
+  const auto read = parse_environment(test::platform_config(), "c.json");
+  EXPECT_EQ(read.name, "n0");
+  EXPECT_EQ(read.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(read.classes, (Words{"read", "sign"}));
+  EXPECT_EQ(read.settings.classes[1].effect, Effect::at_most_once);
+  EXPECT_EQ(read.settings.classes[1].abandon_time, 2s);
+  EXPECT_EQ(read.settings.drain_grace, 3s);
+  EXPECT_EQ(read.settings.zones, 2u);
+  EXPECT_EQ(read.settings.messages_allowed, 12u);
+  EXPECT_EQ(read.settings.load_columns, std::vector<LoadColumn>{LoadColumn::util});
+}
+
+TEST(Environment, AFaultNamesFileAndField) {
+  const auto sound = test::platform_config();
+  const std::vector<std::pair<std::string, std::string>> faults{
+      {"\"listen\"", "listen"},      {"\"discovery\"", "discovery"},
+      {"\"seed\"", "seed"},          {"\"limits\"", "limits"},
+      {"\"sockets\"", "sockets"},    {"\"known\"", "known"},
+      {"\"settings\"", "settings"},  {"\"classes\"", "classes"},
+      {"\"bare-s\"", "bare-s"},      {"\"default-retry\"", "default-retry"},
+      {"\"quantum-s\"", "quantum-s"}};
+  for (const auto& [key, named] : faults) {
+    auto text = sound;
+    text.replace(text.find(key), key.size(), "\"x\"");
+    try {
+      parse_environment(text, "c.json");
+      ADD_FAILURE() << "without " << key;
+    } catch (const config::Faulty& fault) {
+      EXPECT_EQ(std::string(fault.what()).substr(0, 7), "c.json:");
+      EXPECT_NE(std::string(fault.what()).find(named), std::string::npos) << fault.what();
+      EXPECT_EQ(std::string(fault.what()).find('\n'), std::string::npos);
+    }
+  }
+  EXPECT_THROW(parse_environment("{", "c.json"), config::Faulty);
+  EXPECT_THROW(read_environment("/nonexistent"), config::Faulty);
+}
+
+}  // namespace
+}  // namespace ospreypost::platform
