New replicas climb at least as they are sure to warm; thin traffic trips on fewer failures

Seen in the log: 14 of 30 replicas are replaced within 4 s and stand half-open at the floor for 10 s and more, none closes. Checked: starts as discovery tells them (ages of 1 to 2 s, right), the list after a restart (right), messages and reports (none dropped), a trace of the breakers: one governor's proxies bring a replica 1.3 tries a second, a fifth of it at the floor, so the four good tries of sound evidence take 15 s. To blame: share() in src/rules.cpp, which let evidence alone raise what nobody doubts. The same trace showed sick replicas that failed 2 to 3.4 of as many tries and never met the 4 failures of a trip: failures_enough().

It also meets deploys, mass restarts and growth; harm: a new replica that is listed before it can serve gets its part sooner, and trips on two failures.

--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -202,6 +202,7 @@
       taken = places_.take(roster);
       channel_.out(taken.out);
     }
+    log_list(roster, at_start);
     if (roster.refused + taken.refused > 0) complain("entries of the list that cannot be read");
     const auto kind = at_start ? ListKind::cached : roster.complete ? ListKind::complete : ListKind::changes;
     governor.list_received(at, kind, taken.entries);
@@ -209,6 +210,23 @@
   if (streams_) streams_->wake();
 }
 
+// At the start a line for all, later one for each change.
+void Service::log_list(const sources::Roster& roster, bool at_start) {
+  std::size_t ready = 0, young = 0;
+  for (const auto& member : roster.members) {
+    const bool recent = member.started && wall_now() - *member.started < environment_.settings.cold_time;
+    ready += member.phase == Phase::ready;
+    young += member.phase == Phase::ready && recent;
+    const char* phase = member.phase == Phase::ready      ? (recent ? "ready, cold" : "ready")
+                        : member.phase == Phase::draining ? "draining"
+                                                          : "gone";
+    if (!roster.complete) log_->info("list replica={} phase={}", member.name, phase);
+  }
+  if (roster.complete)
+    log_->info("{} list of {}: {} ready, {} of them cold", at_start ? "known" : "whole",
+               roster.members.size(), ready, young);
+}
+
 void Service::ask_load(ReplicaId replica, const net::Address& at) {
   ProbeAnswer answer;
   answer.replica = replica;
--- a/src/platform/service.h
+++ b/src/platform/service.h
@@ -52,6 +52,7 @@
   void roster_received(const sources::Roster& roster) override;
   void registry_silent(const std::string& why) override { complain("no news of the list: " + why); }
   void take_list(const sources::Roster& roster, bool at_start);
+  void log_list(const sources::Roster& roster, bool at_start);
 
   void ask_load(ReplicaId replica, const net::Address& at);
   void look_round();
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,7 +33,9 @@
 constexpr double kSoundTries = 4;   // good tries since the return that make the evidence sound
 constexpr double kTripShare = 0.5;  // of the tries must fail, above what the others meet
 constexpr double kTripFailures = 4, kRetripFailures = 2;  // and so many; fewer half-open or of a doubted list
-constexpr double kAlive = 0.1;                            // of its tries go well at what is full, not dead
+constexpr double kThinFailures = 0.5;                 // of what a usual replica meets, where that is less,
+constexpr double kLuck = 1e-4, kUsualFailing = 0.02;  // but more than luck among the others would bring
+constexpr double kAlive = 0.1;                        // of its tries go well at what is full, not dead
 constexpr double kMostOut = 0.34;  // of listed weight that breakers may hold out, or a list may drop, at once
 constexpr Nanos kEvidenceHalfLife = 2s;
 constexpr Nanos kDemandHalfLife = 4s;
@@ -107,6 +109,7 @@
   Nanos reopens{}, window_ends{};  // while open, while half-open
   Nanos proven_until{};            // a trip before then is a repeat, closed or not
   std::optional<Nanos> anchored;   // when the doubling came; the climb counts from it
+  std::optional<Nanos> fresh;      // since when it is new here; absent once it tripped
   double step = 1;
 
   Evidence evidence;
@@ -182,7 +185,8 @@
   // As surveyed.
   std::vector<bool> jams = std::vector<bool>(zones);          // by zone
   Row repeats = Row(zones, 1.0);                              // tries for a good one, by zone
-  double all_tries = 0, all_failed = 0, ready = 0, out = 0;   // the last two in listed weight
+  double all_tries = 0, all_failed = 0, serving = 1;          // the last one counts replicas
+  double ready = 0, out = 0;                                  // in listed weight
   double pressure = 0, mean_load = -1, used = 0, uneven = 0;  // the last one of the proxies of a zone
   Row works;                                                  // demand by zone, of all groups
 
@@ -293,7 +297,7 @@
       operations += class_demand[k].read(beat);
     }
     const double target = work / operations;
-    all_tries = all_failed = ready = out = 0;
+    all_tries = all_failed = ready = out = 0, serving = 1e-9;
     Row tries(zones, 1.0), good(zones, 1.0), crowds;
     for (auto& subset : subsets) subset.capacity = 0;
     for (const auto& [id, replica] : replicas) {
@@ -302,7 +306,7 @@
       if (!serves(replica)) continue;
       const double met = replica.evidence.tries.read(beat), failed = replica.evidence.failed.read(beat);
       const double late = mean_time(replica, 0.5) / (kCrowdedTime * target), load = raw_load(replica);
-      all_tries += met, all_failed += failed;
+      all_tries += met, all_failed += failed, serving += 1;
       tries[replica.zone] += met, good[replica.zone] += met - failed;
       if (met >= 1) crowds.push_back(std::max(failed / met / kCrowdedFailing, late));
       if (load >= 0)
@@ -363,6 +367,7 @@
     const bool repeat = replica.breaker == Breaker::half_open || at < replica.proven_until;
     replica.cooldown = repeat ? std::min(2 * replica.cooldown, kCooldownCap) : kCooldown;
     replica.breaker = Breaker::open;
+    replica.fresh.reset();
     out += replica.listed;
     replica.reopens = at + replica.cooldown;
     host.log("trip " + name(id) + " for " + std::to_string(replica.cooldown / 1ms) + " ms");
@@ -378,6 +383,13 @@
     host.log("half-open " + name(id));
   }
 
+  // Against thin traffic: where a usual replica meets few tries, one that fails them all would never meet a
+  // fixed count.
+  double failures_enough(double others) const {
+    const double lucky = std::log(kLuck) / std::log(std::clamp(others, kUsualFailing, kTripShare));
+    return std::clamp(kThinFailures * all_tries / serving, std::min(lucky, kTripFailures), kTripFailures);
+  }
+
   void judge() {
     // A replica that is only full reports so and does some tries well; one that is sick is idle or dumb.
     const double full_load = std::max(mean_load, load_is_per_size ? 0 : kFullEnough);
@@ -392,7 +404,7 @@
       const double others = (all_failed - failed) / std::max(1.0, all_tries - tries);
       const bool half = replica.breaker == Breaker::half_open;
       const bool full = raw_load(replica) >= full_load && tries - failed > kAlive * tries;
-      const double enough = half || replica.doubted ? kRetripFailures : kTripFailures;
+      const double enough = half || replica.doubted ? kRetripFailures : failures_enough(others);
       const bool failing = failed > tries * (kTripShare + others) && !full && failed >= enough;
       // Against many trips at once when all are slow together: what is left would be crushed.
       if (failing && (replica.doubted || out + replica.listed <= kMostOut * ready)) trip(id, replica);
@@ -414,6 +426,10 @@
     double part = replica.breaker == Breaker::half_open ? kFloor : 1;
     if (replica.anchored)
       part = kFloor * kAnchor + (1 - kFloor * kAnchor) * seconds(at - *replica.anchored) / seconds(kClimb);
+    // Against thin traffic holding back what nobody doubts: a new replica climbs at least as it is sure to
+    // warm.
+    if (replica.fresh)
+      part = std::max(part, kFloor + (1 - kFloor) * seconds(at - *replica.fresh) / seconds(cold_time));
     const double age = cold(replica) ? std::max(0.0, seconds(at - *replica.started) / seconds(cold_time)) : 1;
     return std::min({1.0, part, cold_share + (1 - cold_share) * age});
   }
@@ -912,6 +928,7 @@
     // Listed at the start means closed, but what started a moment ago is cold whatever the breaker says.
     if (at_start ? !cold(replica) : was_ready && !restarted) return;
     replica.step = 1;
+    replica.fresh = at_start ? replica.started : at;
     half_open(entry.replica, replica);
   }
 };
--- a/tests/program/record_test.cpp
+++ b/tests/program/record_test.cpp
@@ -86,6 +86,7 @@
   std::atomic<bool> stuck = true;
   const std::string entry(8000, 'x');
   constexpr std::uint64_t handed = 2000;
+  std::uint64_t told = 0;
   {
     Writer writer({place.path.string()}, [&] {
       while (stuck) std::this_thread::sleep_for(1ms);
@@ -94,6 +95,7 @@
     EXPECT_GT(writer.counts().lost, 0U);
     stuck = false;
     writer.stop();
+    told = writer.counts().lost;
   }
   std::uint64_t kept = 0, lost = 0;
   for (const auto& file : record::files_of({place.path.string()})) {
@@ -102,9 +104,9 @@
     while (const auto block = blocks.next()) kept += block->head.entries, lost += block->head.lost;
   }
   EXPECT_GT(kept, 0U);
+  EXPECT_EQ(kept + told, handed);
   // What was lost at the very end has no block after it.
-  EXPECT_LE(kept + lost, handed);
-  EXPECT_GT(lost + kept, handed / 2);
+  EXPECT_LE(lost, told);
 }
 
 TEST(Writer, KeepsNoMoreThanItMay) {
