--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -430,8 +430,8 @@
     if (replica.anchored)
       part = kFloor * kAnchor + (1 - kFloor * kAnchor) * seconds(at - *replica.anchored) / seconds(kClimb);
     // Against thin traffic holding back what nobody doubts: a new replica climbs at least as it is sure to
-    // warm.
-    if (replica.fresh)
+    // warm. Not while too much is asked of all: proxies come down on the newest line then.
+    if (replica.fresh && pressure <= 1)
       part = std::max(part, kFloor + (1 - kFloor) * seconds(at - *replica.fresh) / seconds(cold_time));
     const double age = cold(replica) ? std::max(0.0, seconds(at - *replica.started) / seconds(cold_time)) : 1;
     return std::min({1.0, part, cold_share + (1 - cold_share) * age});
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -141,6 +141,18 @@
   EXPECT_GT(scene.host.part(ProxyId{1}, kSick), 0.9 * full);
 }
 
+// Found by a full regression: on an overloaded release day a replica that climbed so was pushed over.
+TEST(Cold, UnderPressureANewReplicaClimbsOnEvidenceOnly) {
+  auto settings = small_settings();
+  settings.cold_time = 1s;
+  Scene scene(settings);
+  for (int s = 0; s < 3; ++s) scene.second({}, 0, 10, 1.0F);
+  const double full = scene.host.part(ProxyId{1}, kSick);
+  scene.restart(4, 1);
+  scene.pass(5s);
+  EXPECT_LT(scene.host.part(ProxyId{1}, kSick), 0.5 * full);
+}
+
 // Found by a hunt: proxies that shun all else come down on the newest line, however light.
 TEST(Cold, AJamHoldsColdReplicasOutUntilItIsOver) {
   Scene scene;
