--- a/src/platform/environment.cpp
+++ b/src/platform/environment.cpp
@@ -132,6 +132,7 @@
     const double quantum = nested.at("quantum-s").get<double>();
     if (!(quantum >= 0 && quantum < 60)) settings.fail("quantum-s", "is out of range");
     read.quantum = Nanos(std::llround(quantum * 1e9));
+    read.may_talk = !read.peers.empty() && nested.at("allowed").value("peers", false);
     read.load_columns = names_of(settings, nested.at("report").at("columns"), "report.columns");
   } catch (const wire::Malformed& error) {
     throw config::Faulty(where + ": " + error.what());
--- a/src/platform/environment.h
+++ b/src/platform/environment.h
@@ -16,6 +16,7 @@
   std::string name;
   net::Address listen, discovery, peer_listen;
   std::vector<net::Address> peers;  // by number, its own included; empty: none
+  bool may_talk = false;            // to them
   net::Address peers_all;
   std::uint64_t seed = 0;
   std::size_t sockets = 0;  // file descriptors at most
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -44,6 +44,14 @@
   } catch (const net::Error& error) {
     complain(std::string("no list was known: ") + error.what());
   }
+  if (environment_.may_talk) {
+    const auto heard = [this](PeerId peer, std::string_view message) {
+      desk_->call(
+          [&](record::Tap& governor, book::OrderBook&, Nanos at) { governor.peer_said(at, peer, message); });
+    };
+    peers_ =
+        std::make_unique<Peers>(environment_.peer_listen, environment_.peers, environment_.peers_all, heard);
+  }
   Vocabulary vocabulary;
   vocabulary.classes = environment_.classes;
   vocabulary.zones = environment_.zones;
@@ -66,6 +74,7 @@
   desk_->stop();
   streams_->stop();
   probers_->stop();
+  if (peers_) peers_->stop();
 }
 
 void Service::renew(const Environment& environment) {
@@ -102,6 +111,11 @@
   probers_->take([this, replica, at] { ask_load(replica, at); });
 }
 
+void Service::tell(std::optional<PeerId> peer, std::string_view message) {
+  if (!peers_) return;
+  probers_->take([this, peer, words = std::string(message)] { peers_->tell(peer, words); });
+}
+
 // The module knows numbers only; people know names.
 void Service::log(std::string_view line) {
   constexpr std::string_view word = "replica ";
--- a/src/platform/service.h
+++ b/src/platform/service.h
@@ -10,6 +10,7 @@
 #include "net/threads.h"
 #include "platform/channel.h"
 #include "platform/environment.h"
+#include "platform/peers.h"
 #include "platform/places.h"
 #include "platform/streams.h"
 #include "sources/registry.h"
@@ -37,7 +38,7 @@
   void probe(ReplicaId replica) override;
   void watch_list(bool) override {}
   void look_up_list() override { wants_list_ = true; }
-  void tell(std::optional<PeerId>, std::string_view) override {}
+  void tell(std::optional<PeerId> peer, std::string_view message) override;
   void log(std::string_view line) override;
 
   void proxy_joined(ProxyId proxy, ZoneId zone, double operations_per_second, bool fresh) override;
@@ -70,6 +71,7 @@
   std::size_t complaints_ = 0;
   std::unique_ptr<governor::Desk> desk_;
   std::unique_ptr<net::Crew> probers_;
+  std::unique_ptr<Peers> peers_;  // null where governors may not talk
   std::unique_ptr<Streams> streams_;
   std::unique_ptr<sources::Registry> registry_;
   std::atomic<bool> stopped_ = false;
--- a/src/program.cmake
+++ b/src/program.cmake
@@ -55,7 +55,7 @@
 ospreypost_package(governor desk.cpp live_governor.cpp status.cpp service.cpp
   NEEDS ospreypost_book ospreypost_lifetime ospreypost_list ospreypost_sources ospreypost_intake ospreypost_dns
         ospreypost_files ospreypost_record ospreypost_http spdlog::spdlog)
-ospreypost_package(platform environment.cpp messages.cpp channel.cpp places.cpp streams.cpp service.cpp
+ospreypost_package(platform environment.cpp messages.cpp channel.cpp places.cpp streams.cpp peers.cpp service.cpp
   NEEDS ospreypost_governor ospreypost_resp ospreypost_sources ospreypost_wire)
 ospreypost_package(judge judge.cpp NEEDS Threads::Threads)
 # Boost's distributions are headers: the same draws on any machine.
--- a/tests/program/platform_service_test.cpp
+++ b/tests/program/platform_service_test.cpp
@@ -2,7 +2,9 @@
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
+#include <condition_variable>
 #include <deque>
+#include <mutex>
 
 #include "http/http.h"
 #include "platform/service.h"
@@ -175,6 +177,30 @@
   EXPECT_EQ(discovery.next_watch(), "/registry/instances?watch=1&after=8");
 }
 
+TEST(Peers, HearPeersOnlyAndTellNoMoreThanADatagramHolds) {
+  const net::Address any{"127.0.0.1", 0};
+  const auto nobody = net::bind_udp(any);
+  std::mutex lock;
+  std::condition_variable changed;
+  Words heard;
+  const auto note = [&](PeerId peer, std::string_view message) {
+    const std::lock_guard held(lock);
+    heard.push_back(std::to_string(static_cast<int>(peer)) + std::string(message));
+    changed.notify_all();
+  };
+  Peers first(any, {}, any, [](PeerId, std::string_view) {});
+  Peers second(any, {net::local_address(nobody), first.address()}, any, note);
+  Peers teller(any, {second.address()}, second.address(), [](PeerId, std::string_view) {});
+  EXPECT_FALSE(teller.tell(PeerId{0}, std::string(257, 'x')));
+  EXPECT_FALSE(teller.tell(PeerId{1}, "x")) << "nobody has that number";
+  EXPECT_TRUE(teller.tell(std::nullopt, "a stranger's"));
+  const std::string_view words = "a peer's";
+  net::send_to(nobody, {reinterpret_cast<const std::uint8_t*>(words.data()), words.size()}, second.address());
+  std::unique_lock held(lock);
+  EXPECT_TRUE(changed.wait_for(held, 10s, [&] { return !heard.empty(); }));
+  EXPECT_EQ(heard, Words{"0a peer's"});
+}
+
 TEST(Registry, ASilentOneIsDialledAgain) {
   struct Sink : sources::RegistrySink {
     void roster_received(const sources::Roster&) override {}
