--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -163,6 +163,7 @@
   const double cold_share;
   const Nanos cold_time;
   const double fall_multiple;
+  const bool falls_cold;  // one can be overloaded for so long before it is warm
   const bool may_shed;
   Row class_work, class_payoff;
   std::vector<std::size_t> class_group;
@@ -225,6 +226,7 @@
         cold_share(std::clamp(s.cold_share, 0.01, 1.0)),
         cold_time(std::max<Nanos>(s.cold_time, 1ms)),
         fall_multiple(s.fall_multiple),
+        falls_cold(s.cold_time > s.fall_time),
         may_shed(s.admission == Admission::share && s.slices == 0),
         class_demand(s.classes.size(), DecayingSum{kDemandHalfLife}),
         at(now),
@@ -430,8 +432,9 @@
     if (replica.anchored)
       part = kFloor * kAnchor + (1 - kFloor * kAnchor) * seconds(at - *replica.anchored) / seconds(kClimb);
     // Against thin traffic holding back what nobody doubts: a new replica climbs at least as it is sure to
-    // warm. Not while too much is asked of all: proxies come down on the newest line then.
-    if (replica.fresh && pressure <= 1)
+    // warm. Not while too much is asked of all, if that can push it over: proxies come down on the newest
+    // line.
+    if (replica.fresh && (pressure <= 1 || !falls_cold))
       part = std::max(part, kFloor + (1 - kFloor) * seconds(at - *replica.fresh) / seconds(cold_time));
     const double age = cold(replica) ? std::max(0.0, seconds(at - *replica.started) / seconds(cold_time)) : 1;
     return std::min({1.0, part, cold_share + (1 - cold_share) * age});
