--- a/src/governor/live_governor.cpp
+++ b/src/governor/live_governor.cpp
@@ -1,7 +1,8 @@
 #include "governor/live_governor.h"
 
 #include <algorithm>
-#include <cstdlib>
+
+#include "governor/log_lines.h"
 
 namespace ospreypost::governor {
 namespace {
@@ -418,18 +419,11 @@
 void LiveGovernor::probe(ReplicaId replica) { world_.probe(replica, directory_->place(replica).address); }
 // There are no peers yet.
 void LiveGovernor::tell(std::optional<PeerId>, std::string_view) {}
-// The module knows numbers only; people know names.
 void LiveGovernor::log(std::string_view line) {
-  constexpr std::string_view word = "replica ";
-  std::string named(line);
-  if (const auto at = named.find(word); at != std::string::npos) {
-    const auto digits = at + word.size();
-    const auto end = named.find_first_not_of("0123456789", digits);
-    const auto id = std::strtoul(named.c_str() + digits, nullptr, 10);
-    if (id < replicas_.size())
-      named.replace(digits, end - digits, replicas_.name(ReplicaId{static_cast<std::uint32_t>(id)}));
-  }
-  world_.log(named, version_->number);
+  const auto name_of = [this](ReplicaId id) {
+    return static_cast<std::size_t>(id) < replicas_.size() ? std::string_view(replicas_.name(id)) : "";
+  };
+  world_.log(with_name(line, name_of), version_->number);
 }
 
 }  // namespace ospreypost::governor
--- a/src/governor/service.cpp
+++ b/src/governor/service.cpp
@@ -23,7 +23,7 @@
 }  // namespace
 
 Service::Service(const config::Config& config, std::shared_ptr<spdlog::logger> log)
-    : config_(config), log_(std::move(log)) {
+    : config_(config), log_(std::move(log)), complaints_(log_, kComplainEvery) {
   // No other process has this name and moment; where the clock went back, claims go above what they meet.
   const book::Claims claims(static_cast<std::uint64_t>(wall_now() / 1s),
                             config_.name + "." + std::to_string(wall_now().count()));
@@ -109,15 +109,6 @@
   return live_->find_replica(name);
 }
 
-void Service::complain(const std::string& what) {
-  const std::lock_guard held(complaints_lock_);
-  ++complaints_;
-  if (complained_ != Nanos{} && now() - complained_ < kComplainEvery) return;
-  log_->warn("{} such since the last line; the newest: {}", complaints_, what);
-  complained_ = now();
-  complaints_ = 0;
-}
-
 http::Response Service::take_metrics(const http::Request& request) {
   if (!request.content_type.starts_with("application/json"))
     return {415, "text/plain", "only application/json is taken\n", std::nullopt, true};
--- a/src/governor/service.h
+++ b/src/governor/service.h
@@ -3,12 +3,12 @@
 
 #include <atomic>
 #include <memory>
-#include <mutex>
 
 #include "config/config.h"
 #include "dns/server.h"
 #include "files/pusher.h"
 #include "governor/live_governor.h"
+#include "governor/log_lines.h"
 #include "http/http.h"
 #include "intake/intake.h"
 #include "record/writer.h"
@@ -50,11 +50,12 @@
   // /generations/PROXY, /rollback/PROXY?version=N
   http::Response answer_generations(const std::string& proxy);
   http::Response answer_rollback(const std::string& rest);
-  void complain(const std::string& what);
+  void complain(const std::string& what) { complaints_.add(what); }
   void ask_load(ReplicaId replica, const net::Address& at);
 
   const config::Config config_;
   const std::shared_ptr<spdlog::logger> log_;
+  Complaints complaints_;
   std::unique_ptr<record::Writer> record_;
   std::unique_ptr<LiveGovernor> live_;
   std::unique_ptr<intake::Intake> intake_;
@@ -64,9 +65,6 @@
   std::unique_ptr<http::Server> http_;
   std::unique_ptr<files::Pusher> pusher_;
   std::unique_ptr<sources::RollFile> roll_;
-  std::mutex complaints_lock_;
-  Nanos complained_{};
-  std::size_t complaints_ = 0;
   std::atomic<bool> stopped_ = false;
 };
 
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -1,7 +1,5 @@
 #include "net/poller.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
@@ -85,13 +83,4 @@
   fail("writing");
 }
 
-Socket accept_now(const Socket& listener) {
-  if (is_quiet(listener)) return {};
-  Socket accepted(::accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC));
-  if (!accepted) return accepted;
-  const int on = 1;
-  ::setsockopt(accepted.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  return accepted;
-}
-
 }  // namespace ospreypost::net
--- a/src/net/poller.h
+++ b/src/net/poller.h
@@ -39,7 +39,5 @@
 std::optional<std::size_t> read_now(const Socket& socket, std::span<char> into);
 // Without waiting. Bytes that the system took, maybe none. Throws Error if the stream broke.
 std::size_t write_now(const Socket& socket, std::string_view bytes);
-// Without waiting; empty if nobody waits, or descriptors are short.
-Socket accept_now(const Socket& listener);
 
 }  // namespace ospreypost::net
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -27,6 +27,7 @@
 Service::Service(const Environment& environment, std::shared_ptr<spdlog::logger> log)
     : environment_(environment),
       log_(std::move(log)),
+      complaints_(log_, kComplainEvery),
       channel_(environment.classes, environment.usual_retry),
       places_(environment.zones, environment.kinds, now() - wall_now()) {
   probers_ = std::make_unique<net::Crew>("prober", kProbers, kProbesWaiting, kSmallestStack);
@@ -116,17 +117,11 @@
   probers_->take([this, peer, words = std::string(message)] { peers_->tell(peer, words); });
 }
 
-// The module knows numbers only; people know names.
 void Service::log(std::string_view line) {
-  constexpr std::string_view word = "replica ";
-  std::string named(line);
-  if (const auto at = named.find(word); at != std::string::npos) {
-    const auto digits = at + word.size();
-    const auto end = named.find_first_not_of("0123456789", digits);
-    const auto id = std::strtoul(named.c_str() + digits, nullptr, 10);
+  std::string named;
+  {
     const std::lock_guard held(lock_);
-    const auto* place = places_.place(ReplicaId{static_cast<std::uint32_t>(id)});
-    if (place) named.replace(digits, end - digits, place->name);
+    named = governor::with_name(line, [this](ReplicaId id) { return name_of(id); });
   }
   log_->info("{}", named);
 }
@@ -186,22 +181,13 @@
 
 std::string Service::next_for(ProxyId proxy) {
   const std::lock_guard held(lock_);
-  return channel_
-      .next(proxy,
-            [this](ReplicaId id) {
-              const auto* place = places_.place(id);
-              return place ? std::string_view(place->name) : std::string_view{};
-            })
-      .bytes;
+  return channel_.next(proxy, [this](ReplicaId id) { return name_of(id); }).bytes;
 }
 
-void Service::complain(const std::string& what) {
-  const std::lock_guard held(complaints_lock_);
-  ++complaints_;
-  if (complained_ != Nanos{} && now() - complained_ < kComplainEvery) return;
-  log_->warn("{} such since the last line; the newest: {}", complaints_, what);
-  complained_ = now();
-  complaints_ = 0;
+// Empty if it was let go or never given. With the lock held.
+std::string_view Service::name_of(ReplicaId id) const {
+  const auto* place = places_.place(id);
+  return place ? std::string_view(place->name) : std::string_view{};
 }
 
 // --- The list, and what is asked of replicas
@@ -209,6 +195,8 @@
 void Service::roster_received(const sources::Roster& roster) { take_list(roster, false); }
 
 void Service::take_list(const sources::Roster& roster, bool at_start) {
+  log_list(roster, at_start);
+  std::size_t refused = roster.refused;
   desk_->call([&](record::Tap& governor, book::OrderBook&, Nanos at) {
     Places::Taken taken;
     {
@@ -216,11 +204,11 @@
       taken = places_.take(roster);
       channel_.out(taken.out);
     }
-    log_list(roster, at_start);
-    if (roster.refused + taken.refused > 0) complain("entries of the list that cannot be read");
+    refused += taken.refused;
     const auto kind = at_start ? ListKind::cached : roster.complete ? ListKind::complete : ListKind::changes;
     governor.list_received(at, kind, taken.entries);
   });
+  if (refused > 0) complain("entries of the list that cannot be read");
   if (streams_) streams_->wake();
 }
 
--- a/src/platform/service.h
+++ b/src/platform/service.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "governor/desk.h"
+#include "governor/log_lines.h"
 #include "net/threads.h"
 #include "platform/channel.h"
 #include "platform/environment.h"
@@ -48,7 +49,8 @@
   void mark_answered(ProxyId proxy, std::uint64_t nonce, Nanos took) override;
   std::vector<ProxyId> due() override;
   std::string next_for(ProxyId proxy) override;
-  void complain(const std::string& what) override;
+  std::string_view name_of(ReplicaId id) const;
+  void complain(const std::string& what) override { complaints_.add(what); }
 
   void roster_received(const sources::Roster& roster) override;
   void registry_silent(const std::string& why) override { complain("no news of the list: " + why); }
@@ -60,15 +62,13 @@
 
   const Environment environment_;
   const std::shared_ptr<spdlog::logger> log_;
+  governor::Complaints complaints_;
   // What is written and to whom; held for a few instructions, after the desk's lock where both are.
   std::mutex lock_;
   Channel channel_;
   Places places_;
   std::shared_ptr<const book::Version> version_ = std::make_shared<book::Version>();
   std::atomic<bool> wants_list_ = false;
-  std::mutex complaints_lock_;
-  Nanos complained_{};
-  std::size_t complaints_ = 0;
   std::unique_ptr<governor::Desk> desk_;
   std::unique_ptr<net::Crew> probers_;
   std::unique_ptr<Peers> peers_;  // null where governors may not talk
--- a/src/platform/streams.cpp
+++ b/src/platform/streams.cpp
@@ -120,8 +120,8 @@
 
 void Streams::admit() {
   for (std::size_t n = 0; n < kAdmitAtOnce; ++n) {
-    auto socket = net::accept_now(listener_);
-    if (!socket) return;
+    auto accepted = net::accept(listener_, net::Steady::now());
+    if (!accepted) return;
     if (guests_.size() >= most_) {
       // Neither may a flood keep proxies out, nor may whoever has joined be ended for it.
       if (strangers_.empty()) continue;
@@ -130,7 +130,7 @@
     const auto key = ++last_key_;
     auto& guest = guests_[key];
     guest.key = key;
-    guest.socket = std::move(socket);
+    guest.socket = std::move(accepted->first);
     guest.reader.set_limits(kOfStrangers);
     guest.since = net::Steady::now();
     strangers_.insert(key);
--- a/src/program.cmake
+++ b/src/program.cmake
@@ -52,7 +52,7 @@
 target_link_libraries(ospreypost_record_schema PUBLIC protobuf::libprotobuf)
 ospreypost_package(record blocks.cpp reader.cpp edit.cpp writer.cpp orders.cpp tap.cpp
   NEEDS ospreypost_record_schema ospreypost_net ospreypost_rules PkgConfig::ZSTD PkgConfig::XXHASH)
-ospreypost_package(governor desk.cpp live_governor.cpp status.cpp service.cpp
+ospreypost_package(governor desk.cpp log_lines.cpp live_governor.cpp status.cpp service.cpp
   NEEDS ospreypost_book ospreypost_lifetime ospreypost_list ospreypost_sources ospreypost_intake ospreypost_dns
         ospreypost_files ospreypost_record ospreypost_http spdlog::spdlog)
 ospreypost_package(platform environment.cpp messages.cpp channel.cpp places.cpp streams.cpp peers.cpp service.cpp
