The deployed program keeps the libraries that it needs beside it

The program named thirteen shared libraries of packages that only the building machine has (ldd), so on a machine without them it would not have started.

--- a/src/program.cmake
+++ b/src/program.cmake
@@ -70,3 +70,12 @@
 
 add_executable(ospreypost src/cli/main.cpp)
 target_link_libraries(ospreypost PRIVATE ospreypost_cli)
+
+# The platform keeps what the build leaves and nothing else: the shared libraries that the program names go beside
+# it, and it looks there first. The C library and the compiler's own stay the machine's.
+# With RPATH and not RUNPATH, as the libraries are to find each other there too.
+set_target_properties(ospreypost PROPERTIES BUILD_RPATH "$ORIGIN/lib" BUILD_RPATH_USE_ORIGIN ON)
+target_link_options(ospreypost PRIVATE LINKER:--disable-new-dtags)
+add_custom_command(TARGET ospreypost POST_BUILD
+  COMMAND ${CMAKE_COMMAND} -DPROGRAM=$<TARGET_FILE:ospreypost> -DINTO=$<TARGET_FILE_DIR:ospreypost>/lib
+          -P ${PROJECT_SOURCE_DIR}/deploy/gather_libraries.cmake VERBATIM)
