What waits in the channel is known by answers to marks: a slow channel keeps its limit

Cause: the module took a channel to run at half its stated pace whatever happened (State::waiting, kChannelShare). On a scratch copy each message was marked and the time to its answer logged: until 10 s answers came after 0.3 to 1.1 s, from 14 to 21 s after up to 5.13 s, while the module believed at most 10,400 of 20,200 lines to wait. Ruled out: lines that the module doesn't count (the door's own count over the same stretch, drained at the stated pace, peaks at 9,600), messages lost with streams, restarts.

Change: each message carries a mark (one for all calls of a moment, since a mark costs a line of each message of a reply), and what no answer confirms counts as waiting. A mark makes no message of its own at the platform's door. LargeScene's channel now runs at its stated pace and answers, as a channel that nobody answers would only be believed at half of it.

--- a/src/platform/channel.cpp
+++ b/src/platform/channel.cpp
@@ -62,10 +62,11 @@
   }
 }
 
-void Channel::marked(ProxyId id, MarkId mark) {
+void Channel::marked(ProxyId id, MarkId mark, bool alone) {
   const auto known = proxies_.find(id);
   if (known == proxies_.end()) return;
   known->second.marks.push_back(mark);
+  known->second.asks_alone = known->second.asks_alone || alone;
   due_.insert(id);
 }
 
@@ -156,6 +157,8 @@
     proxy.shed.clear();
     parts.push_back(std::move(part));
   }
+  if (parts.empty() && !proxy.asks_alone) proxy.marks.clear();
+  proxy.asks_alone = false;
   if (parts.empty() && proxy.marks.empty()) return message;
   if (parts.empty()) parts.emplace_back();
 
--- a/src/platform/channel.h
+++ b/src/platform/channel.h
@@ -31,8 +31,9 @@
   void ordered(ProxyId proxy, std::shared_ptr<const book::Holding> holding);
   // Joined proxies without tables of ours are to drop these lines from what they brought along.
   void out(const std::vector<ReplicaId>& replicas);
-  // The proxy is to answer once it has applied all that stands now.
-  void marked(ProxyId proxy, MarkId mark);
+  // The proxy is to answer once it has applied all that stands now. `alone`: also if there is nothing else to
+  // write to it.
+  void marked(ProxyId proxy, MarkId mark, bool alone);
 
   // Whom there is something to write to.
   const std::set<ProxyId>& due() const { return due_; }
@@ -61,6 +62,7 @@
     std::shared_ptr<const book::Holding> wanted;
     std::vector<ReplicaId> shed;  // lines to drop from what it brought along
     std::vector<MarkId> marks;    // to be asked for
+    bool asks_alone = false;      // for one of them a message is written that has nothing else
     std::vector<std::pair<std::uint64_t, std::vector<MarkId>>> asked;
   };
   // A push to some classes; what is empty is not written.
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -95,7 +95,7 @@
         channel_.ordered(pending.proxy, version_->holding_of(pending.proxy));
     }
     for (const auto& [mark, reach_all] : marks) {
-      for (const auto proxy : version_->marked(reach_all)) channel_.marked(proxy, mark);
+      for (const auto proxy : version_->marked(reach_all)) channel_.marked(proxy, mark, reach_all);
     }
   }
   if (streams_) streams_->wake();
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace ospreypost {
 namespace {
@@ -52,6 +53,8 @@
 constexpr double kSmallestSpill = 0.03;    // a thinner flow into a zone costs connections for nothing
 
 constexpr double kChannelShare = 0.5;                      // of the stated pace and limit that we count on
+constexpr double kUnheardShare = 0.1;                      // of that pace, for what no answer has confirmed
+constexpr std::size_t kMostAsked = 4096;                   // marks that wait for their first answer
 constexpr double kUrgentShare = 0.9, kJoiningShare = 0.8;  // of the limit, for what must not wait
 constexpr Nanos kLaySpan = 4s;  // in which all first tables go out, on a channel at the pace we count on
 constexpr double kOpenConnections = 0.5;  // of what the smallest replica accepts, were each line open
@@ -194,8 +197,17 @@
   Retry retry = Retry::after_proof, ordered_retry = retry;  // no effect allows more at every class
   double let_in = 1;                                        // of the work asked for
   Row levels;                                               // as ordered, by class
-  Nanos next_publish{}, queued_at{};
-  double head = stated_head, queued = 0;  // lines we believe to wait
+  Nanos next_publish{}, channel_at{}, asked_at{};
+  double head = stated_head + 1;  // of a message, with its mark
+  // The channel: lines ordered ever, those of them that carry a mark, and those that left it.
+  double ordered = 0, marked = 0, left = 0;
+  struct Asked {
+    double from = 0, lines = 0, messages = 0, answers = 0;  // lines ordered before it and with it
+  };
+  std::map<MarkId, Asked> asked;
+  std::uint64_t last_mark = 0;
+  double messages = 0;    // that the next mark goes with
+  bool answered = false;  // ever, by anybody
   bool hurry = false;
   unsigned rounds = 0;
   int list_failures = 0;
@@ -637,10 +649,41 @@
 
   // --- The channel
 
+  // Lines that may wait. A channel may run at a fraction of its pace for a while, so what was ordered waits
+  // until an answer shows that it left. Against answers that never come, it leaves unheard, but slowly; where
+  // nobody answers marks at all, at the pace that we count on.
   double waiting() {
-    queued = std::max(0.0, queued - seconds(at - queued_at) * lines_per_second);
-    queued_at = at;
-    return queued;
+    const double pace = lines_per_second * (answered ? kUnheardShare : 1);
+    left = std::min(ordered, left + seconds(at - channel_at) * pace);
+    channel_at = at;
+    return ordered - left;
+  }
+
+  // Asks about what was ordered in this call. All calls of one moment leave as one message for each proxy,
+  // which needs one mark.
+  void ask() {
+    if (ordered <= marked) return;
+    if (asked.empty() || asked_at != at) {
+      if (asked.size() >= kMostAsked) asked.erase(asked.begin());
+      asked[MarkId{++last_mark}].from = marked;
+      host.mark(MarkId{last_mark}, false);
+    }
+    asked_at = at;
+    asked.rbegin()->second.lines += ordered - marked;
+    marked = ordered;
+    asked.rbegin()->second.messages += std::exchange(messages, 0);
+  }
+
+  // Messages leave in order: an answer shows that all earlier ones left, and its part of its own.
+  void confirm(MarkId mark) {
+    const auto known = asked.find(mark);
+    if (known == asked.end()) return;
+    auto& [from, lines, carriers, answers] = known->second;
+    const double shown = from + lines * std::min(1.0, ++answers / std::max(1.0, carriers));
+    waiting();
+    left = answered ? std::max(left, shown) : shown;
+    answered = true;
+    asked.erase(asked.begin(), known);
   }
 
   // The orders of one reply: the lines that still fit, and which subsets get a message or must keep theirs.
@@ -650,19 +693,20 @@
     bool strays_written = false;  // proxies that are bound to none
   };
 
-  // Takes the room for lines to these subsets, if they fit. Guards the queue, on a channel at half its stated
-  // pace, and the messages to one proxy.
+  // Takes the room for lines to these subsets, if they fit. Guards the queue and the messages to one proxy.
   bool fits(Reply& reply, const std::vector<std::size_t>& to, double lines, bool strays) {
-    double cost = 0, unbound = static_cast<double>(proxies.size());
+    double cost = 0, carriers = 0, unbound = static_cast<double>(proxies.size());
     for (const auto s : to) {
       if (reply.kept[s] || (!reply.written[s] && at < subsets[s].written + message_gap)) return false;
       cost += subsets[s].users * (lines + (reply.written[s] ? 0 : head));
+      carriers += reply.written[s] ? 0 : subsets[s].users;
     }
     for (const auto& subset : subsets) unbound -= subset.users;
     if (strays) cost += unbound * (lines + (reply.strays_written ? 0 : head));
     if (cost > reply.room) return false;
     reply.room -= cost;
-    queued += cost;
+    ordered += cost;
+    messages += carriers + (strays && !reply.strays_written ? unbound : 0);
     for (const auto s : to) reply.written[s] = true;
     reply.strays_written = reply.strays_written || strays;
     return true;
@@ -746,7 +790,7 @@
     send_levels(reply);
     reply.room -= reserve;
     // The fuller the channel, the more a change must matter.
-    const double worth = kWorthSending / std::max(0.2, 1 - queued / (kChannelShare * most_waiting));
+    const double worth = kWorthSending / std::max(0.2, 1 - waiting() / (kChannelShare * most_waiting));
     std::vector<std::tuple<bool, double, std::size_t>> order;
     std::vector<std::vector<Change>> changes;
     for (std::size_t s = 0; s < subsets.size(); ++s) {
@@ -805,7 +849,7 @@
       host.set_level(kEveryTable, static_cast<ClassMask>(1u << k), levels[k], retry);
     }
     ordered_retry = retry;
-    head = stated_head + static_cast<double>(levels.size());  // every later message carries them
+    head = stated_head + 1 + static_cast<double>(levels.size());  // every later message carries them
   }
 
   // Gives a proxy all tables of a subset at once, with every standing withdrawal.
@@ -818,7 +862,8 @@
       for (const auto& [replica, weight] : held) lines += replicas.at(replica).withdrawn;
     }
     if (waiting() + lines > share_of_channel * most_waiting) return;
-    queued += lines;
+    ordered += lines;
+    messages += 1;
     for (std::size_t g = 0; g < groups.size(); ++g) {
       host.bind(id, table_id(s, g), groups[g].classes);
       if (proxy.subset) subsets[*proxy.subset].demand[g] -= proxy.demand[g].read(beat);
@@ -899,6 +944,7 @@
     bind();
     even_out();
     if (hurry || at >= next_publish) publish();
+    ask();
   }
 
   // Guards against a wrong list: where being dropped does not bind, one that loses so much at once is
@@ -966,6 +1012,7 @@
   s.survey();
   s.keep_served();
   if (s.hurry || kind == ListKind::cached) s.publish();
+  s.ask();
 }
 
 void Governor::list_failed(Nanos) {
@@ -989,6 +1036,7 @@
     joined.demand[s.class_group[k]].add(s.beat, usual * s.class_work[k] / s.class_work.size());
   }
   s.bind();
+  s.ask();
 }
 
 void Governor::proxy_left(Nanos, ProxyId proxy) {
@@ -997,6 +1045,8 @@
   if (known == s.proxies.end()) return;
   if (known->second.subset) s.subsets[*known->second.subset].users -= 1;
   s.proxies.erase(known);
+  // What waits for a proxy is lost with its stream.
+  if (s.proxies.empty()) s.left = s.ordered;
 }
 
 void Governor::replica_summed(Nanos now, const ReplicaSum& sum) {
@@ -1035,7 +1085,10 @@
   if (timer == kWatchTimer) state_->host.watch_list(true);
 }
 
-void Governor::orders_applied(Nanos, ProxyId, MarkId, Nanos) {}
+void Governor::orders_applied(Nanos now, ProxyId, MarkId mark, Nanos) {
+  state_->tick(now);
+  state_->confirm(mark);
+}
 
 // A probe is asked for its load report only: a missing answer may be the fault of our own way to the replica.
 void Governor::probe_answered(Nanos now, const ProbeAnswer& answer) {
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -386,8 +386,8 @@
   Channel channel({"read", "sign"}, Retry::after_proof);
   const ProxyId proxy{1};
   channel.joined(proxy);
-  channel.marked(proxy, MarkId{4});
-  channel.marked(proxy, MarkId{9});
+  channel.marked(proxy, MarkId{4}, true);
+  channel.marked(proxy, MarkId{9}, true);
   PlainProxy plain;
   plain.apply(channel.next(proxy, [](ReplicaId) { return std::string_view("s"); }).bytes);
   EXPECT_TRUE(channel.answered(proxy, 77).empty()) << "an answer to what was never asked";
@@ -395,6 +395,20 @@
   EXPECT_TRUE(channel.answered(proxy, std::stoul(plain.nonce)).empty());
 }
 
+TEST(Channel, AMarkThatGoesWithOrdersMakesNoMessageOfItsOwn) {
+  Channel channel({"read", "sign"}, Retry::after_proof);
+  const ProxyId proxy{1};
+  const auto name = [](ReplicaId) { return std::string_view("s"); };
+  channel.joined(proxy);
+  channel.marked(proxy, MarkId{4}, false);
+  EXPECT_TRUE(channel.next(proxy, name).bytes.empty()) << "each message counts against its limit";
+  channel.out({ReplicaId{2}});
+  channel.marked(proxy, MarkId{5}, false);
+  PlainProxy plain;
+  plain.apply(channel.next(proxy, name).bytes);
+  EXPECT_EQ(channel.answered(proxy, std::stoul(plain.nonce)), std::vector<MarkId>{MarkId{5}});
+}
+
 TEST(Channel, WhatIsOutLeavesTheLinesOfThoseWhoWaitForATable) {
   Channel channel({"read", "sign"}, Retry::after_proof);
   channel.joined(ProxyId{1});
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -236,7 +236,10 @@
 
 // A fleet of its final size from the first list on: subsets are laid once.
 struct LargeScene {
-  LargeScene() : governor(large_settings(), 7, host.now, host) {
+  // Its channel runs at its stated pace.
+  LargeScene()
+      : host(large_settings().message_head_lines, large_settings().channel_lines_per_second),
+        governor(large_settings(), 7, host.now, host) {
     for (std::uint32_t id = 0; id < 240; ++id) {
       entries.push_back(entry(id, static_cast<std::uint16_t>(id % 3)));
       entries.back().cell = CellId{static_cast<std::uint16_t>(id / 18)};
@@ -244,12 +247,11 @@
     governor.list_received(host.now, ListKind::cached, entries);
     for (std::uint16_t p = 0; p < 300; ++p) {
       governor.proxy_joined(host.now, ProxyId{p}, ZoneId{static_cast<std::uint16_t>(p % 3)}, 3, true);
+      host.take();
     }
   }
-  void pass(Nanos span) {
-    turn_clock(host, governor, span, [] {});
-  }
-  BookHost host;
+  void pass(Nanos span) { host.pass(governor, span); }
+  ChannelHost host;
   std::vector<ListEntry> entries;
   Governor governor;
 };
--- a/tests/support.h
+++ b/tests/support.h
@@ -131,6 +131,77 @@
   host.now = until;
 }
 
+// Turns the orders of one call into a message for each proxy that they concern, and lets the messages leave
+// one after the other, at a pace of its own. Proxies answer the marks as their messages leave.
+class ChannelHost : public BookHost {
+ public:
+  ChannelHost(double head, double lines_a_second) : head_(head), lines_a_step_(lines_a_second * kSeconds) {}
+  void set_line(TableId table, ReplicaId replica, double weight) override {
+    BookHost::set_line(table, replica, weight);
+    for (const auto& [at, bound_to] : bound) {
+      if (at.second == 0 && bound_to == table) ++lines_[at.first];
+    }
+  }
+  void bind(ProxyId proxy, TableId table, ClassMask classes) override {
+    BookHost::bind(proxy, table, classes);
+    lines_[proxy] += 1 + static_cast<double>(tables[table].size());
+  }
+  void withdraw(ReplicaId replica, bool out) override {
+    BookHost::withdraw(replica, out);
+    for (const auto& [at, table] : bound) {
+      if (at.second == 0 && tables[table].contains(replica)) ++lines_[at.first];
+    }
+  }
+  void set_level(TableId table, ClassMask classes, double level, Retry retry) override {
+    BookHost::set_level(table, classes, level, retry);
+    for (const auto proxy : bindings) ++lines_[proxy];
+  }
+  void mark(MarkId mark, bool) override { marks_.push_back(mark); }
+
+  // After each call.
+  void take() {
+    for (const auto& [proxy, lines] : lines_) {
+      queue_.push_back({proxy, head_ + lines + static_cast<double>(marks_.size()), marks_});
+      waiting += queue_.back().lines;
+    }
+    lines_.clear();
+    marks_.clear();
+    most_waiting = std::max(most_waiting, waiting);
+  }
+  void pass(Governor& governor, Nanos span) {
+    for (const auto until = now + span; now < until;) {
+      turn_clock(*this, governor, kStep, [this] { take(); });
+      can_leave_ = queue_.empty() ? 0 : can_leave_ + lines_a_step_;
+      while (!queue_.empty() && can_leave_ >= queue_.front().lines) {
+        const auto message = queue_.front();
+        queue_.pop_front();
+        can_leave_ -= message.lines, waiting -= message.lines;
+        for (const auto mark : message.marks) {
+          if (answers) governor.orders_applied(now, message.proxy, mark, 1ms);
+        }
+        take();
+      }
+    }
+  }
+
+  bool answers = true;
+  double waiting = 0, most_waiting = 0;  // lines
+
+ private:
+  struct Message {
+    ProxyId proxy{};
+    double lines = 0;
+    std::vector<MarkId> marks;
+  };
+  static constexpr Nanos kStep = 10ms;
+  static constexpr double kSeconds = 0.01;
+  const double head_, lines_a_step_;
+  std::deque<Message> queue_;
+  double can_leave_ = 0;
+  std::map<ProxyId, double> lines_;
+  std::vector<MarkId> marks_;
+};
+
 // A governor with three proxies, one a zone, and the time in hand.
 struct Scene {
   explicit Scene(const Settings& settings = small_settings(), std::uint32_t replicas = 9)
