--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -15,8 +15,9 @@
 constexpr std::size_t kWordsWaiting = 64;  // to other governors
 constexpr std::size_t kSmallestStack = 64 * 1024;
 constexpr auto kProbeWithin = 500ms;
-// Descriptors for all that is no stream: probes, discovery, polling, standard streams.
-constexpr std::size_t kOtherDescriptors = 32;
+// Descriptors for all that is no stream: probes; discovery and what interrupts it, at an address and four
+// that are left; polling, the listener, one just accepted, peers, interrupts, standard streams.
+constexpr std::size_t kOtherDescriptors = kProbers + 24;
 constexpr Nanos kGatherLeast = 2ms;
 constexpr Nanos kLookEvery = 500ms;
 constexpr Nanos kComplainEvery = 5s;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -55,6 +55,7 @@
 
 constexpr double kChannelShare = 0.5;                      // of the stated pace and limit that we count on
 constexpr double kUnheardShare = 0.1;                      // of that pace, for what no answer has confirmed
+constexpr double kAskShare = 0.25;                         // of the limit, from which it is asked what left
 constexpr std::size_t kMostAsked = 4096;                   // marks that wait for their first answer
 constexpr double kUrgentShare = 0.9, kJoiningShare = 0.8;  // of the limit, for what must not wait
 constexpr Nanos kLaySpan = 4s;  // in which all first tables go out, on a channel at the pace we count on
@@ -201,7 +202,7 @@
   Row levels;                                               // as ordered, by class
   Nanos next_publish{}, channel_at{}, asked_at{};
   double head = stated_head + 1;  // of a message, with its mark
-  // The channel: lines ordered ever, those of them that carry a mark, and those that left it.
+  // The channel: lines ordered ever, those of them up to the last call, and those that left it.
   double ordered = 0, marked = 0, left = 0;
   struct Asked {
     double from = 0, lines = 0, messages = 0, answers = 0;  // lines ordered before it and with it
@@ -661,19 +662,23 @@
     return ordered - left;
   }
 
-  // Asks about what was ordered in this call. All calls of one moment leave as one message for each proxy,
-  // which needs one mark.
+  // Asks about what was ordered in this call, if so much may wait that it matters, or nobody answered yet:
+  // marks in all messages cost more than they tell. All calls of one moment leave as one message for each
+  // proxy, which needs one mark.
   void ask() {
     if (ordered <= marked) return;
-    if (asked.empty() || asked_at != at) {
+    const bool matters = !answered || waiting() > kAskShare * most_waiting;
+    if ((asked.empty() || asked_at != at) && matters) {
       if (asked.size() >= kMostAsked) asked.erase(asked.begin());
       asked[MarkId{++last_mark}].from = marked;
+      asked_at = at;
       host.mark(MarkId{last_mark}, false);
     }
-    asked_at = at;
-    asked.rbegin()->second.lines += ordered - marked;
-    marked = ordered;
-    asked.rbegin()->second.messages += std::exchange(messages, 0);
+    if (!asked.empty() && asked_at == at) {
+      asked.rbegin()->second.lines += ordered - marked;
+      asked.rbegin()->second.messages += messages;
+    }
+    marked = ordered, messages = 0;
   }
 
   // Messages leave in order: an answer shows that all earlier ones left, and its part of its own.
