--- a/bench/fleet/plays.py
+++ b/bench/fleet/plays.py
@@ -3,9 +3,9 @@
 
     bench/fleet/plays.py BENCH SITE --kinds roll+mass,split+mass --seeds 1-10 --why "..."
 
-The verdict is the bench's own, from the report that it writes: rules broken, a fault of a process, and the gate's floor on
-what is served. On a day with `throng` that floor does not count. Nothing is judged here a second time; a play whose report
-is missing is said to be partial, with the bench's last words.
+From the report that the bench writes: rules broken, a fault of a process, and what was served beside the report's floor (not
+on a day with `throng`). The gate asks for more (by class, tenant and third), which only the bench's scores judge. A play whose
+report is missing is said to be partial, with the bench's last words.
 """
 import argparse
 import json
