One count of proxies that are bound to nothing; lines are read as before from a header on

Read again: forget() counted bound proxies as fits() does, so both ask unbound() now, and fits() counts only where strays are written to; read_lines keeps its early return while the header is not whole, as the flag in its place had one use.

--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -119,8 +119,8 @@
       if (error) break;
     }
     if (early_.size() > most_line_bytes) throw net::Error("a chunk without an end");
-    const bool begun = parser.is_header_done();
-    if (begun && parser.get().result_int() != 200)
+    if (!parser.is_header_done()) continue;
+    if (parser.get().result_int() != 200)
       throw net::Error("status " + std::to_string(parser.get().result_int()));
     auto& body = parser.get().body();
     std::size_t at = 0;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -693,6 +693,12 @@
     asked.erase(asked.begin(), known);
   }
 
+  double unbound() const {  // proxies
+    double count = static_cast<double>(proxies.size());
+    for (const auto& subset : subsets) count -= subset.users;
+    return count;
+  }
+
   // The orders of one reply: the lines that still fit, and which subsets get a message or must keep theirs.
   struct Reply {
     double room;
@@ -702,18 +708,18 @@
 
   // Takes the room for lines to these subsets, if they fit. Guards the queue and the messages to one proxy.
   bool fits(Reply& reply, const std::vector<std::size_t>& to, double lines, bool strays) {
-    double cost = 0, carriers = 0, unbound = static_cast<double>(proxies.size());
+    double cost = 0, carriers = 0;
+    const double loose = strays ? unbound() : 0;
     for (const auto s : to) {
       if (reply.kept[s] || (!reply.written[s] && at < subsets[s].written + message_gap)) return false;
       cost += subsets[s].users * (lines + (reply.written[s] ? 0 : head));
       carriers += reply.written[s] ? 0 : subsets[s].users;
     }
-    for (const auto& subset : subsets) unbound -= subset.users;
-    if (strays) cost += unbound * (lines + (reply.strays_written ? 0 : head));
+    cost += loose * (lines + (reply.strays_written ? 0 : head));
     if (cost > reply.room) return false;
     reply.room -= cost;
     ordered += cost;
-    messages += carriers + (strays && !reply.strays_written ? unbound : 0);
+    messages += carriers + (reply.strays_written ? 0 : loose);
     for (const auto s : to) reply.written[s] = true;
     reply.strays_written = reply.strays_written || strays;
     return true;
@@ -938,13 +944,11 @@
 
   // Against state that grows with all that ever was. A proxy bound to nothing may still hold a line of it.
   void forget() {
-    double bound = 0;
-    for (const auto& subset : subsets) bound += subset.users;
     for (auto entry = replicas.begin(); entry != replicas.end();) {
       const auto& [id, replica] = *entry;
       if (replica.phase != Phase::gone) entry->second.listed_at = at;
       const bool past = replica.withdrawn && at > replica.listed_at + kRemembered;
-      const bool held = past && (bound < static_cast<double>(proxies.size()) || !holders(id).empty());
+      const bool held = past && (unbound() > 0 || !holders(id).empty());
       if (past && !held) host.withdraw(id, false);
       entry = past && !held ? replicas.erase(entry) : std::next(entry);
     }
