--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 import os
 import sys
 import time
+import traceback
 
 HERE = os.path.dirname(os.path.realpath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
@@ -85,3 +86,6 @@
     except CannotRun as error:
         print(error)
         sys.exit(2)
+    except Exception:  # a fault of the test itself is no broken rule
+        traceback.print_exc()
+        sys.exit(2)
