--- a/tests/policy/table_publisher_test.cpp
+++ b/tests/policy/table_publisher_test.cpp
@@ -166,6 +166,56 @@
   EXPECT_FALSE(fleet.publisher.bind(ProxyId{3}, 0, groups, fleet.replicas, kJoiningQueueFraction, now));
 }
 
+// Guards against cold replicas whose entries arrive before the admitted fraction that protects them.
+TEST(TableAdmissionTest, ALowerFractionThatDoesNotFitPostponesTheEntriesOfItsTable) {
+  PublishedFleet fleet(publisher_settings(60));
+  fleet.channel.add(1000, 1);
+  fleet.wanted.tables.set_admitted_fraction(0, 0, 0.2);
+  fleet.wanted.tables.at(0, 0)[ReplicaId{1}] = 5;
+  fleet.publish();
+  EXPECT_TRUE(fleet.sink.fractions.empty());
+  EXPECT_TRUE(fleet.sink.entries.empty());
+  EXPECT_TRUE(fleet.publisher.is_urgent());
+  fleet.publish_after(60s);
+  ASSERT_EQ(fleet.sink.fractions.size(), 1U);
+  EXPECT_EQ(fleet.sink.fractions[0].table, TableId{0});
+  EXPECT_EQ(fleet.sink.fractions[0].fraction, 0.2);
+  EXPECT_EQ(fleet.sink.entries.size(), 1U);
+}
+
+// Guards against a fraction that rises for replicas that proxies cannot pick yet.
+TEST(TableAdmissionTest, AHigherFractionWaitsForTheEntriesOfItsTable) {
+  PublishedFleet fleet(publisher_settings(60));
+  fleet.wanted.tables.set_admitted_fraction(0, 0, 0.2);
+  fleet.publish_after(60s);
+  ASSERT_EQ(fleet.sink.fractions.size(), 1U);
+  fleet.clock.advance(fleet.clock.now() + 60s);
+  EXPECT_EQ(fleet.channel.queued_entries(fleet.clock.now()), 0);
+  fleet.channel.add(24, 1);  // leaves room for urgent entries only
+  fleet.wanted.tables.set_admitted_fraction(0, 0, 1);
+  fleet.wanted.tables.at(0, 0)[ReplicaId{1}] = 5;
+  fleet.publish();
+  EXPECT_TRUE(fleet.sink.entries.empty());
+  EXPECT_TRUE(fleet.sink.fractions.empty());
+  fleet.publish_after(60s);
+  EXPECT_EQ(fleet.sink.entries.size(), 1U);
+  ASSERT_EQ(fleet.sink.fractions.size(), 1U);
+  EXPECT_EQ(fleet.sink.fractions[0].fraction, 1);
+}
+
+// A table's own retry mode has precedence over that of all tables.
+TEST(TableAdmissionTest, ARetryModeIsRepeatedForTablesWithAFraction) {
+  PublishedFleet fleet;
+  fleet.wanted.tables.set_admitted_fraction(0, 0, 0.5);
+  fleet.publish_after(10s);
+  fleet.wanted.retry_mode = RetryMode::none;
+  fleet.publish_after(10s);
+  ASSERT_EQ(fleet.sink.fractions.size(), 3U) << "one for each class, and one for the table";
+  EXPECT_EQ(fleet.sink.fractions[2].table, TableId{0});
+  EXPECT_EQ(fleet.sink.fractions[2].fraction, 0.5);
+  EXPECT_EQ(fleet.sink.fractions[2].retry, RetryMode::none);
+}
+
 TEST(MessageBatchTest, ReservesAllOrNothing) {
   PublishedFleet fleet;
   const std::vector<Nanos> last_messages{Nanos{}};
