A table's admitted fraction rises once its replicas are published, not after every change

Seen while reading: a fraction rose only when all changes of its subset were sent. While the channel is full some change is always left, so that a zone could stay limited after it was warm. TableSet keeps the number of its subsets, which was divided by the number of routing groups; settings without classes have none.

--- a/src/policy/table_admission.cpp
+++ b/src/policy/table_admission.cpp
@@ -10,6 +10,11 @@
 /// Minimum relative change of a fraction that is sent.
 constexpr double kMinRelativeChange = 0.08;
 
+bool has_all_replicas(const TableEntries& published, const TableEntries& wanted) {
+  return std::all_of(wanted.begin(), wanted.end(),
+                     [&](const TableEntries::value_type& entry) { return published.contains(entry.first); });
+}
+
 }  // namespace
 
 void TableAdmission::set_table_count(std::size_t subsets, std::size_t groups) {
@@ -38,7 +43,8 @@
   }
 }
 
-void TableAdmission::raise(const TableSet& wanted, RetryMode retry_mode, const std::vector<bool>& is_complete,
+void TableAdmission::raise(const TableSet& wanted, RetryMode retry_mode,
+                           const std::vector<std::vector<TableEntries>>& published_entries,
                            MessageBatch& batch) {
   for (std::size_t subset = 0; subset < tables_.size(); ++subset) {
     for (std::size_t group = 0; group < tables_[subset].size(); ++group) {
@@ -46,7 +52,8 @@
       const double fraction = wanted.admitted_fraction(subset, group);
       const bool admits_all_again = fraction >= 1 && published.fraction < 1;
       const bool differs = admits_all_again || fraction > published.fraction * (1 + kMinRelativeChange);
-      const bool rises = differs && is_complete[subset];
+      const bool rises =
+          differs && has_all_replicas(published_entries[subset][group], wanted.at(subset, group));
       const bool changes_retries = published.was_sent && published.retry_mode != retry_mode;
       if (!rises && !changes_retries) continue;
       const double sent_fraction = rises ? fraction : std::min(fraction, published.fraction);
--- a/src/policy/table_publisher.cpp
+++ b/src/policy/table_publisher.cpp
@@ -82,9 +82,9 @@
   table_admission_.lower(wanted.tables, wanted.retry_mode, publication.batch);
   is_urgent_ = is_urgent_ || table_admission_.any_pending();
   send_admission(publication);
-  const SentTables sent = send_tables(publication);
-  readmit(publication, sent.unsent);
-  table_admission_.raise(wanted.tables, wanted.retry_mode, sent.is_complete, publication.batch);
+  const std::set<ReplicaId> unsent = send_tables(publication);
+  readmit(publication, unsent);
+  table_admission_.raise(wanted.tables, wanted.retry_mode, tables_, publication.batch);
   for (std::size_t subset = 0; subset < tables_.size(); ++subset) {
     if (!publication.batch.has_message(subset) || assignment.subsets()[subset].proxies <= 0) continue;
     last_messages_[subset] = now;
@@ -181,25 +181,24 @@
   publication.batch.set_message_overhead(message_overhead_);
 }
 
-TablePublisher::SentTables TablePublisher::send_tables(Publication& publication) {
+/// Returns the replicas with a change that was not sent.
+std::set<ReplicaId> TablePublisher::send_tables(Publication& publication) {
   // Table changes may fill the channel up to the non-urgent limit only. The part beyond is reserved for
   // urgent entries, such as those of a subset without endpoints.
   const double urgent_capacity =
       (kUrgentQueueFraction - kNonUrgentQueueFraction) * channel_.max_queued_entries();
   publication.batch.change_capacity(-urgent_capacity);
-  SentTables result{{}, std::vector<bool>(tables_.size())};
+  std::set<ReplicaId> unsent;
   for (const auto& subset_changes : find_changes(publication)) {
     const std::size_t sent = send_changes(publication, subset_changes, urgent_capacity);
     const auto& changes = subset_changes.changes;
-    const auto& postponed = subset_changes.postponed;
-    result.is_complete[subset_changes.subset] = sent == changes.size() && postponed.empty();
-    result.unsent.insert(postponed.begin(), postponed.end());
+    unsent.insert(subset_changes.postponed.begin(), subset_changes.postponed.end());
     for (std::size_t position = sent; position < changes.size(); ++position) {
-      result.unsent.insert(changes[position].replica);
+      unsent.insert(changes[position].replica);
     }
   }
   publication.batch.change_capacity(urgent_capacity);
-  return result;
+  return unsent;
 }
 
 std::vector<TablePublisher::SubsetChanges> TablePublisher::find_changes(const Publication& publication) {
--- a/src/policy/table_publisher.h
+++ b/src/policy/table_publisher.h
@@ -71,11 +71,6 @@
     std::vector<Change> changes;
     std::set<ReplicaId> postponed;  // replicas of tables that cannot be changed yet
   };
-  /// The result of sending table changes.
-  struct SentTables {
-    std::set<ReplicaId> unsent;     // replicas with a change that was not sent
-    std::vector<bool> is_complete;  // by subset: whether all changes were sent
-  };
   struct Publication;
 
   void eject(Publication& publication);
@@ -84,7 +79,7 @@
   void hold_back(Publication& publication, const std::vector<std::size_t>& subsets);
   void release_subsets_without_endpoints(Publication& publication) const;
   void send_admission(Publication& publication);
-  SentTables send_tables(Publication& publication);
+  std::set<ReplicaId> send_tables(Publication& publication);
   std::size_t send_changes(Publication& publication, const SubsetChanges& subset_changes,
                            double urgent_capacity);
   void readmit(Publication& publication, const std::set<ReplicaId>& unsent);
--- a/src/policy/table_set.h
+++ b/src/policy/table_set.h
@@ -18,9 +18,12 @@
 class TableSet {
  public:
   TableSet(std::size_t subsets, std::size_t groups)
-      : groups_(groups), tables_(subsets * groups), admitted_fractions_(subsets * groups, 1.0) {}
+      : subsets_(subsets),
+        groups_(groups),
+        tables_(subsets * groups),
+        admitted_fractions_(subsets * groups, 1.0) {}
 
-  std::size_t subsets() const { return tables_.size() / groups_; }
+  std::size_t subsets() const { return subsets_; }
   std::size_t groups() const { return groups_; }
   TableEntries& at(std::size_t subset, std::size_t group) { return tables_[index(subset, group)]; }
   const TableEntries& at(std::size_t subset, std::size_t group) const {
@@ -40,6 +43,7 @@
  private:
   std::size_t index(std::size_t subset, std::size_t group) const { return subset * groups_ + group; }
 
+  std::size_t subsets_;
   std::size_t groups_;
   std::vector<TableEntries> tables_;
   std::vector<double> admitted_fractions_;
--- a/tests/policy/warm_up_limit_test.cpp
+++ b/tests/policy/warm_up_limit_test.cpp
@@ -352,6 +352,16 @@
   run(20s);
 }
 
+// Guards against a division by the number of routing groups, which is 0 in settings without request classes.
+TEST(WarmUpWithoutClassesTest, ReplicasOfADeploymentWithoutClassesAreListed) {
+  Settings settings = warm_up_settings();
+  settings.classes.clear();
+  ControllerFixture fixture(settings);
+  fixture.restart(4, 1);
+  fixture.advance(3s);
+  EXPECT_TRUE(fixture.proxies.tables.empty());
+}
+
 /// Faults in random order: replicas are lost, drain, fail, return cold, and proxies join again.
 class GeneratedWarmUpTest : public WarmUpLimitTest, public ::testing::WithParamInterface<unsigned> {
  protected:
