Weights of cold replicas beside a recovering one stay positive; the served part has a floor

Seen while reading: the shares of replicas that are not picked yet are each counted beside those that are, so that their sum could pass 1, and the reduced weights in tables with other replicas became negative, which the wire does not allow. Each such replica now gets its weight by itself. The served part of the usual load, by which tables of cold replicas are limited, is a quarter at least: attempts also fail in a partition, which says nothing of capacity.

--- a/src/policy/table_admission.cpp
+++ b/src/policy/table_admission.cpp
@@ -44,7 +44,7 @@
 }
 
 void TableAdmission::raise(const TableSet& wanted, RetryMode retry_mode,
-                           const std::vector<std::vector<TableEntries>>& published_entries,
+                           const std::vector<std::vector<TableEntries>>& published_tables,
                            MessageBatch& batch) {
   for (std::size_t subset = 0; subset < tables_.size(); ++subset) {
     for (std::size_t group = 0; group < tables_[subset].size(); ++group) {
@@ -53,7 +53,7 @@
       const bool admits_all_again = fraction >= 1 && published.fraction < 1;
       const bool differs = admits_all_again || fraction > published.fraction * (1 + kMinRelativeChange);
       const bool rises =
-          differs && has_all_replicas(published_entries[subset][group], wanted.at(subset, group));
+          differs && has_all_replicas(published_tables[subset][group], wanted.at(subset, group));
       const bool changes_retries = published.was_sent && published.retry_mode != retry_mode;
       if (!rises && !changes_retries) continue;
       const double sent_fraction = rises ? fraction : std::min(fraction, published.fraction);
--- a/src/policy/table_admission.h
+++ b/src/policy/table_admission.h
@@ -21,9 +21,9 @@
   /// Sends the fractions that fall. A fraction that does not fit is pending until a later call sends it.
   void lower(const TableSet& wanted, RetryMode retry_mode, MessageBatch& batch);
   /// Sends the fractions that rise, and the retry mode of tables with a fraction of their own. A table's
-  /// fraction rises only if `published`, by subset and routing group, has all its wanted replicas.
+  /// fraction rises only if `published_tables`, by subset and routing group, has all its wanted replicas.
   void raise(const TableSet& wanted, RetryMode retry_mode,
-             const std::vector<std::vector<TableEntries>>& published, MessageBatch& batch);
+             const std::vector<std::vector<TableEntries>>& published_tables, MessageBatch& batch);
 
   /// Returns whether a lower fraction of the table is still to be sent. Until then, the table must not get
   /// new entries, which rely on that fraction.
--- a/src/policy/warm_up_limiter.cpp
+++ b/src/policy/warm_up_limiter.cpp
@@ -19,6 +19,8 @@
 constexpr double kMinRemainingFraction = 0.1;
 /// Half-life of the outcomes from which the served fraction of the usual demand follows.
 constexpr Nanos kOutcomeHalfLife = std::chrono::seconds(20);
+/// Minimum served fraction. Attempts may also fail for other reasons than a lack of capacity.
+constexpr double kMinServedFraction = 0.25;
 
 /// A replica that is warming up, and the load that the tables bring it.
 struct WarmingReplica {
@@ -99,7 +101,7 @@
  private:
   void reduce_weights(const WarmingTable& table) {
     std::map<ReplicaId, double> shares;
-    double total_share = 0;
+    double picked_share = 0;  // of the warming replicas that can be picked now
     bool any_excess = false;
     for (const auto& [id, weight] : entries_of(table)) {
       const auto warming = replicas_.find(id);
@@ -107,12 +109,15 @@
       const double factor = excess(warming->second);
       any_excess = any_excess || factor > 1;
       shares[id] = share_of(table, id, weight) / factor;
-      total_share += shares[id];
+      if (can_be_picked(id)) picked_share += shares[id];
     }
     if (!any_excess) return;
     // The other replicas keep their weights and get the rest of the requests.
+    const double picked_weight = table.warm_weight / (1 - picked_share);
     auto& entries = tables_.at(table.subset, table.group);
-    for (const auto& [id, share] : shares) entries[id] = share * table.warm_weight / (1 - total_share);
+    for (const auto& [id, share] : shares) {
+      entries[id] = can_be_picked(id) ? share * picked_weight : share * picked_weight / (1 - share);
+    }
   }
 
   const TableEntries& entries_of(const WarmingTable& table) const {
@@ -218,7 +223,7 @@
 
 /// Returns the fraction of attempts that succeeded. Attempts beyond the capacity of the replicas fail.
 double WarmUpLimiter::served_fraction(Nanos now) const {
-  return (successes_.read(now) + kTiny) / (attempts_.read(now) + kTiny);
+  return std::max(kMinServedFraction, (successes_.read(now) + kTiny) / (attempts_.read(now) + kTiny));
 }
 
 void WarmUpLimiter::update_usual_load(const ProxyDemand& demand, const SubsetAssignment& subsets,
--- a/tests/policy/controller_fixture.h
+++ b/tests/policy/controller_fixture.h
@@ -2,8 +2,11 @@
 /// they receive, and a clock.
 #pragma once
 
+#include <gtest/gtest.h>
+
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <set>
@@ -73,6 +76,7 @@
  public:
   using ActionHandler::handle;
   void handle(const SetTableEntry& action) override {
+    EXPECT_TRUE(std::isfinite(action.weight) && action.weight >= 0) << action.weight;
     auto& table = tables[action.table];
     if (action.weight > 0) {
       if (table.contains(action.replica) && table[action.replica] == action.weight) ++repeated_entries;
@@ -102,6 +106,7 @@
     has_actions = true;
   }
   void handle(const SetAdmittedFraction& action) override {
+    EXPECT_TRUE(std::isfinite(action.fraction) && action.fraction >= 0) << action.fraction;
     if (action.table == kAllTables) {
       admitted_fractions.push_back({action.classes, action.fraction, action.retry});
     } else {
