--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # to be compiled: the build checks that each of them can be read by the interpreter, and writes no file.
 set -eu
 cd "$(dirname "$0")"
-for script in lib-2/*.py 6/*.py 7/*.py 8/*.py 9/*.py; do
+for script in lib-2/*.py 6/*.py 7/*.py 8/*.py 9/*.py 10/*.py; do
   python3 -B -c 'import sys; compile(open(sys.argv[1], encoding="ascii").read(), sys.argv[1], "exec")' "$script"
 done
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -449,15 +449,15 @@
             self.writer = None
             writer.close()
 
-    async def keep_joined(self, choose):
-        """Joins the governor that `choose` names; dials again 0.3 to 1.5 s after a break."""
+    async def keep_joined(self, choose, redial=(0.3, 1.5)):
+        """Joins the governor that `choose` names; dials again some time after a break."""
         while True:
             try:
                 await self.join(choose())
                 self.world.record.add(f"proxy {self.number}: its stream broke")
             except OSError:
                 pass
-            await asyncio.sleep(self.world.random.uniform(0.3, 1.5))
+            await asyncio.sleep(self.world.random.uniform(*redial))
 
     def apply(self, parts):
         now = time.time()
