--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -513,11 +513,13 @@
         if not usable:
             return None
         credit = self.credit[name]
-        total = 0.0
+        for gone in [replica for replica in credit if replica not in self.tables[name]]:
+            del credit[gone]
+        total = sum(self.tables[name][replica] for replica in usable)
         for replica in usable:
-            weight = self.tables[name][replica]
-            total += weight
-            credit[replica] = credit.get(replica, self.world.random.random() * weight) + weight
+            # A new line's first turn comes by chance, not before those of the others.
+            start = credit[replica] if replica in credit else -self.world.random.random() * total
+            credit[replica] = start + self.tables[name][replica]
         best = max(usable, key=lambda replica: credit[replica])
         credit[best] -= total
         return best
