--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -787,6 +787,8 @@
 
     async def main():
         task = asyncio.ensure_future(play(record, trouble, worlds))
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that no process is left behind
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(task, limit_s)
         finally:
@@ -800,6 +802,8 @@
         record.say(f"could not run: {error}")
     except (asyncio.TimeoutError, TimeoutError):
         record.say("could not run: the case took too long")
+    except asyncio.CancelledError:
+        record.say("could not run: it was ended from outside")
     except Exception as error:  # whatever else goes wrong is no broken rule
         record.say(f"could not run: {type(error).__name__}: {error}")
     for world in worlds:
