Log ejections that waited, with the time and what they waited for

Cause: the log could not tell why a drain left late: the pacing of messages, a full channel, or a subset kept free for another ejection; the time at which the list was read was the only trace. Change: MessageBatch::try_reserve() returns why it refuses, and an ejection that was refused logs ejection_delayed with the wait and the first reason when it is sent.

--- a/src/policy/log_events.h
+++ b/src/policy/log_events.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 #include "policy/types.h"
 
@@ -34,6 +35,13 @@
   return "warm_up_released zone=" + std::to_string(zone);
 }
 
+/// Logged when an ejection is sent that could not be sent at once. `reason` says what it waited for first.
+inline std::string ejection_delayed(ReplicaId id, Nanos waited, std::string_view reason) {
+  const auto milliseconds = waited / std::chrono::milliseconds(1);
+  return "ejection_delayed" + replica_field(id) + " waited_ms=" + std::to_string(milliseconds) +
+         " reason=" + std::string(reason);
+}
+
 /// Logged when all replicas of a table are warming up and proxies have to reject a part of its requests.
 inline std::string table_admission_limited(TableId id) {
   return "table_admission_limited table=" + std::to_string(static_cast<std::uint16_t>(id));
--- a/src/policy/message_batch.cpp
+++ b/src/policy/message_batch.cpp
@@ -13,29 +13,32 @@
       has_message_(assignment.subsets().size()),
       held_back_(assignment.subsets().size()) {}
 
-bool MessageBatch::is_free(std::size_t subset) const {
-  if (held_back_[subset]) return false;
-  return has_message_[subset] || now_ >= pacing_.last_messages[subset] + pacing_.min_gap;
+/// Returns whether the subset may be sent a message now, or else why not.
+MessageBatch::Reservation MessageBatch::check(std::size_t subset) const {
+  if (held_back_[subset]) return Reservation::held_back;
+  const bool is_free = has_message_[subset] || now_ >= pacing_.last_messages[subset] + pacing_.min_gap;
+  return is_free ? Reservation::granted : Reservation::message_limit;
 }
 
-bool MessageBatch::try_reserve(const std::vector<std::size_t>& subsets, double entries,
-                               Unassigned unassigned) {
+MessageBatch::Reservation MessageBatch::try_reserve(const std::vector<std::size_t>& subsets, double entries,
+                                                    Unassigned unassigned) {
   const double unassigned_proxies = unassigned == Unassigned::included ? assignment_.unassigned_proxies() : 0;
   double cost = 0;
   double messages = 0;
   for (const auto subset : subsets) {
-    if (!is_free(subset)) return false;
+    const Reservation checked = check(subset);
+    if (checked != Reservation::granted) return checked;
     const double proxies = assignment_.subsets()[subset].proxies;
     cost += proxies * (entries + (has_message_[subset] ? 0 : message_overhead_));
     messages += has_message_[subset] ? 0 : proxies;
   }
   cost += unassigned_proxies * (entries + (unassigned_have_message_ ? 0 : message_overhead_));
-  if (cost > capacity_) return false;
+  if (cost > capacity_) return Reservation::channel_full;
   capacity_ -= cost;
   channel_.add(cost, messages + (unassigned_have_message_ ? 0 : unassigned_proxies));
   for (const auto subset : subsets) has_message_[subset] = true;
   unassigned_have_message_ = unassigned_have_message_ || unassigned == Unassigned::included;
-  return true;
+  return Reservation::granted;
 }
 
 }  // namespace ospreypost::policy
--- a/src/policy/message_batch.h
+++ b/src/policy/message_batch.h
@@ -22,10 +22,16 @@
                double message_overhead, Nanos now);
 
   enum class Unassigned { excluded, included };
+  /// The result of a reservation.
+  enum class Reservation {
+    granted,
+    message_limit,  ///< a subset was sent a message too recently
+    held_back,      ///< a subset is held back for an earlier urgent entry
+    channel_full,   ///< the entries do not fit into the channel
+  };
   /// Reserves channel capacity for `entries` entries to each proxy of the subsets and, if included, to each
-  /// proxy without a subset. Reserves nothing and returns false if not all of the entries fit, or if any of
-  /// the subsets may not be sent a message now.
-  bool try_reserve(const std::vector<std::size_t>& subsets, double entries, Unassigned unassigned);
+  /// proxy without a subset. Reserves nothing unless the result is `granted`.
+  Reservation try_reserve(const std::vector<std::size_t>& subsets, double entries, Unassigned unassigned);
   /// Makes try_reserve() fail for the subset until release() is called. The subset's next message thus stays
   /// available for an urgent entry that did not fit now.
   void hold_back(std::size_t subset) { held_back_[subset] = true; }
@@ -39,7 +45,7 @@
   void set_message_overhead(double entries) { message_overhead_ = entries; }
 
  private:
-  bool is_free(std::size_t subset) const;
+  Reservation check(std::size_t subset) const;
 
   ControlChannel& channel_;
   const SubsetAssignment& assignment_;
--- a/src/policy/table_admission.cpp
+++ b/src/policy/table_admission.cpp
@@ -24,7 +24,8 @@
 /// Sends a fraction if it fits into the batch.
 void TableAdmission::send(TableId id, Position position, double fraction, RetryMode retry_mode,
                           MessageBatch& batch) {
-  if (!batch.try_reserve({position.subset}, entries_, MessageBatch::Unassigned::excluded)) return;
+  const auto reservation = batch.try_reserve({position.subset}, entries_, MessageBatch::Unassigned::excluded);
+  if (reservation != MessageBatch::Reservation::granted) return;
   auto& published = tables_[position.subset][position.group];
   if (fraction < 1 && published.fraction >= 1) actions_.log(log_events::table_admission_limited(id));
   if (fraction >= 1 && published.fraction < 1) actions_.log(log_events::table_admission_unlimited(id));
--- a/src/policy/table_publisher.cpp
+++ b/src/policy/table_publisher.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <numeric>
 
+#include "policy/log_events.h"
+
 namespace ospreypost::policy {
 namespace {
 
@@ -21,6 +23,20 @@
   return from_seconds(to_seconds(settings.message_window) / std::max(1.0, messages));
 }
 
+const char* text_of(MessageBatch::Reservation reason) {
+  switch (reason) {
+    case MessageBatch::Reservation::message_limit:
+      return "message_limit";
+    case MessageBatch::Reservation::held_back:
+      return "held_back";
+    case MessageBatch::Reservation::channel_full:
+      return "channel_full";
+    case MessageBatch::Reservation::granted:
+      break;
+  }
+  return "none";
+}
+
 double total_weight(const TableEntries& table) {
   double total = 0;
   for (const auto& [id, weight] : table) total += weight;
@@ -39,6 +55,7 @@
   MessageBatch batch;
 
   bool may_serve(const Replica& replica) const { return slow_start.may_serve(replica, now); }
+  bool needs_ejection(const Replica& replica) const { return !replica.ejected && !may_serve(replica); }
 };
 
 TablePublisher::TablePublisher(const Settings& settings, ControlChannel& channel, ActionSink& actions)
@@ -93,9 +110,13 @@
 }
 
 void TablePublisher::eject(Publication& publication) {
+  std::erase_if(delayed_ejections_, [&](const auto& delayed) {
+    const auto known = publication.replicas.find(delayed.first);
+    return known == publication.replicas.end() || !publication.needs_ejection(known->second);
+  });
   std::vector<ReplicaId> kept_out;
   for (auto& [id, replica] : publication.replicas) {
-    if (replica.ejected || publication.may_serve(replica)) continue;
+    if (!publication.needs_ejection(replica)) continue;
     if (replica.kept_out && replica.is_ready()) {
       kept_out.push_back(id);
     } else {
@@ -113,14 +134,28 @@
   }
   const std::vector<std::size_t> subsets(holding_subsets.begin(), holding_subsets.end());
   const auto entries = static_cast<double>(ids.size());
-  if (!publication.batch.try_reserve(subsets, entries, MessageBatch::Unassigned::included)) {
+  const auto reservation =
+      publication.batch.try_reserve(subsets, entries, MessageBatch::Unassigned::included);
+  if (reservation != MessageBatch::Reservation::granted) {
+    for (const auto id : ids) delay_ejection(id, reservation, publication.now);
     hold_back(publication, subsets);
     return;
   }
-  for (const auto id : ids) {
-    publication.replicas.at(id).ejected = true;
-    actions_.set_ejected(id, true);
-  }
+  for (const auto id : ids) send_ejection(publication, id);
+}
+
+void TablePublisher::delay_ejection(ReplicaId id, MessageBatch::Reservation reason, Nanos now) {
+  delayed_ejections_.try_emplace(id, DelayedEjection{now, reason});
+}
+
+void TablePublisher::send_ejection(Publication& publication, ReplicaId id) {
+  publication.replicas.at(id).ejected = true;
+  actions_.set_ejected(id, true);
+  const auto delayed = delayed_ejections_.find(id);
+  if (delayed == delayed_ejections_.end()) return;
+  const auto& [since, reason] = delayed->second;
+  actions_.log(log_events::ejection_delayed(id, publication.now - since, text_of(reason)));
+  delayed_ejections_.erase(delayed);
 }
 
 /// Keeps the next messages of the subsets free for an ejection that could not be sent.
@@ -138,8 +173,10 @@
 
 void TablePublisher::eject_one(Publication& publication, ReplicaId id, Replica& replica) {
   const auto holding_subsets = subsets_holding(id);
-  replica.ejected = publication.batch.try_reserve(holding_subsets, 1, MessageBatch::Unassigned::included);
-  if (!replica.ejected) {
+  const auto reservation =
+      publication.batch.try_reserve(holding_subsets, 1, MessageBatch::Unassigned::included);
+  if (reservation != MessageBatch::Reservation::granted) {
+    delay_ejection(id, reservation, publication.now);
     hold_back(publication, holding_subsets);
     return;
   }
@@ -152,7 +189,7 @@
       }
     }
   }
-  actions_.set_ejected(id, true);
+  send_ejection(publication, id);
 }
 
 void TablePublisher::send_admission(Publication& publication) {
@@ -169,7 +206,9 @@
   std::vector<std::size_t> all_subsets(tables_.size());
   std::iota(all_subsets.begin(), all_subsets.end(), std::size_t{0});
   const auto entries = static_cast<double>(changed.size());
-  if (!publication.batch.try_reserve(all_subsets, entries, MessageBatch::Unassigned::included)) return;
+  const auto reservation =
+      publication.batch.try_reserve(all_subsets, entries, MessageBatch::Unassigned::included);
+  if (reservation != MessageBatch::Reservation::granted) return;
   for (const auto cls : changed) {
     admitted_fractions_[cls] = wanted.admitted_fractions[cls];
     actions_.set_admitted_fraction(kAllTables, static_cast<ClassMask>(1U << cls), admitted_fractions_[cls],
@@ -230,9 +269,10 @@
   const double proxies = publication.assignment.subsets()[subset].proxies;
   const double capacity = std::max(0.0, batch.capacity() / std::max(1.0, proxies) - batch.message_overhead());
   std::size_t fitting = std::min(changes.size(), static_cast<std::size_t>(capacity));
-  if (fitting > 0 &&
-      !batch.try_reserve({subset}, static_cast<double>(fitting), MessageBatch::Unassigned::excluded)) {
-    fitting = 0;
+  if (fitting > 0) {
+    const auto reservation =
+        batch.try_reserve({subset}, static_cast<double>(fitting), MessageBatch::Unassigned::excluded);
+    if (reservation != MessageBatch::Reservation::granted) fitting = 0;
   }
   if (!has_endpoints) batch.change_capacity(-urgent_capacity);
   for (std::size_t position = 0; position < fitting; ++position) {
@@ -321,7 +361,9 @@
   for (auto& [id, replica] : publication.replicas) {
     // A replica returns only after its new entry was sent, since the weight that proxies have is outdated.
     if (!replica.ejected || !publication.may_serve(replica) || unsent.contains(id)) continue;
-    if (!publication.batch.try_reserve(subsets_holding(id), 1, MessageBatch::Unassigned::included)) continue;
+    const auto reservation =
+        publication.batch.try_reserve(subsets_holding(id), 1, MessageBatch::Unassigned::included);
+    if (reservation != MessageBatch::Reservation::granted) continue;
     actions_.set_ejected(id, false);
     replica.ejected = false;
   }
--- a/src/policy/table_publisher.h
+++ b/src/policy/table_publisher.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -71,11 +72,18 @@
     std::vector<Change> changes;
     std::set<ReplicaId> postponed;  // replicas of tables that cannot be changed yet
   };
+  /// An ejection that could not be sent at once.
+  struct DelayedEjection {
+    Nanos since{};
+    MessageBatch::Reservation reason{};  // why it could not be sent at first
+  };
   struct Publication;
 
   void eject(Publication& publication);
   void eject_one(Publication& publication, ReplicaId id, Replica& replica);
   void eject_together(Publication& publication, const std::vector<ReplicaId>& ids);
+  void delay_ejection(ReplicaId id, MessageBatch::Reservation reason, Nanos now);
+  void send_ejection(Publication& publication, ReplicaId id);
   void hold_back(Publication& publication, const std::vector<std::size_t>& subsets);
   void release_subsets_without_endpoints(Publication& publication) const;
   void send_admission(Publication& publication);
@@ -104,6 +112,7 @@
   std::vector<Nanos> last_messages_;                         // time of the last message, by subset
   Values admitted_fractions_;                                // published admitted fractions, by class
   RetryMode retry_mode_ = RetryMode::after_rejection_proof;  // published retry mode
+  std::map<ReplicaId, DelayedEjection> delayed_ejections_;
   TableAdmission table_admission_;
   double message_overhead_;
   Nanos next_publication_{};
--- a/tests/policy/table_publisher_test.cpp
+++ b/tests/policy/table_publisher_test.cpp
@@ -108,6 +108,8 @@
   EXPECT_FALSE(fleet.replica(1).ejected);
   fleet.publish_after(60s);
   EXPECT_EQ(fleet.sink.ejections.size(), 1U);
+  EXPECT_EQ(fleet.sink.logged,
+            std::vector<std::string>{"ejection_delayed replica=1 waited_ms=60000 reason=channel_full"});
   EXPECT_FALSE(fleet.publisher.is_urgent());
 }
 
@@ -223,11 +225,14 @@
   const std::vector<Nanos> last_messages{Nanos{}};
   MessageBatch batch(fleet.channel, fleet.assignment, {last_messages, 1s}, 6, fleet.clock.now());
   const double capacity = batch.capacity();
-  EXPECT_FALSE(batch.try_reserve({0}, capacity, MessageBatch::Unassigned::excluded));
+  EXPECT_EQ(batch.try_reserve({0}, capacity, MessageBatch::Unassigned::excluded),
+            MessageBatch::Reservation::channel_full);
   EXPECT_EQ(batch.capacity(), capacity);
-  EXPECT_TRUE(batch.try_reserve({0}, 10, MessageBatch::Unassigned::excluded));
+  EXPECT_EQ(batch.try_reserve({0}, 10, MessageBatch::Unassigned::excluded),
+            MessageBatch::Reservation::granted);
   EXPECT_EQ(batch.capacity(), capacity - 16);
-  EXPECT_TRUE(batch.try_reserve({0}, 10, MessageBatch::Unassigned::excluded));
+  EXPECT_EQ(batch.try_reserve({0}, 10, MessageBatch::Unassigned::excluded),
+            MessageBatch::Reservation::granted);
   EXPECT_EQ(batch.capacity(), capacity - 26) << "each message has its overhead only once";
 }
 
@@ -236,9 +241,11 @@
   const std::vector<Nanos> last_messages{Nanos{}};
   MessageBatch batch(fleet.channel, fleet.assignment, {last_messages, 1s}, 6, fleet.clock.now());
   batch.hold_back(0);
-  EXPECT_FALSE(batch.try_reserve({0}, 1, MessageBatch::Unassigned::excluded));
+  EXPECT_EQ(batch.try_reserve({0}, 1, MessageBatch::Unassigned::excluded),
+            MessageBatch::Reservation::held_back);
   batch.release(0);
-  EXPECT_TRUE(batch.try_reserve({0}, 1, MessageBatch::Unassigned::excluded));
+  EXPECT_EQ(batch.try_reserve({0}, 1, MessageBatch::Unassigned::excluded),
+            MessageBatch::Reservation::granted);
 }
 
 TEST(MessageBatchTest, ProxiesWithoutASubsetAreCountedIfIncluded) {
@@ -247,7 +254,7 @@
   const std::vector<Nanos> last_messages{Nanos{}};
   MessageBatch batch(fleet.channel, fleet.assignment, {last_messages, 1s}, 6, fleet.clock.now());
   const double capacity = batch.capacity();
-  EXPECT_TRUE(batch.try_reserve({}, 1, MessageBatch::Unassigned::included));
+  EXPECT_EQ(batch.try_reserve({}, 1, MessageBatch::Unassigned::included), MessageBatch::Reservation::granted);
   EXPECT_EQ(batch.capacity(), capacity - 7);
 }
 
