--- a/src/policy/control_loop.cpp
+++ b/src/policy/control_loop.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using policy::TablePublisher;
 
 constexpr TimerId kIterationTimer{1};
 constexpr TimerId kWatchTimer{2};
@@ -109,23 +110,23 @@
 void Controller::ControlLoop::bind_unassigned_proxies() {
   if (assignment_.subsets().empty()) return;
   for (const auto& [id, proxy] : assignment_.proxies()) {
-    if (!proxy.subset) bind(id, assignment_.least_loaded(proxy.zone), policy::kJoiningQueueFraction);
+    if (!proxy.subset) bind(id, assignment_.least_loaded(proxy.zone), TablePublisher::Binding::joining);
   }
 }
 
 void Controller::ControlLoop::migrate_proxies() {
   if (assignment_.subsets().empty()) return;
+  const auto may_migrate = [&](ProxyId proxy) { return publisher_.may_migrate(proxy, clock_.now()); };
   for (std::size_t turn = 0; turn < kMaxMigrations; ++turn) {
     for (std::size_t zone = 0; zone < zones(); ++zone) {
-      const auto migration = assignment_.find_migration(zone);
-      if (migration) bind(migration->proxy, migration->subset, policy::kNonUrgentQueueFraction);
+      const auto migration = assignment_.find_migration(zone, may_migrate);
+      if (migration) bind(migration->proxy, migration->subset, TablePublisher::Binding::migration);
     }
   }
 }
 
-void Controller::ControlLoop::bind(ProxyId proxy, std::size_t subset, double queue_fraction) {
-  const bool is_bound =
-      publisher_.bind(proxy, subset, classes_.groups(), replicas(), queue_fraction, clock_.now());
+void Controller::ControlLoop::bind(ProxyId proxy, std::size_t subset, TablePublisher::Binding binding) {
+  const bool is_bound = publisher_.bind(proxy, subset, classes_.groups(), replicas(), binding, clock_.now());
   if (!is_bound) return;
   assignment_.assign(proxy, subset, clock_.evidence_time());
   // The limit of a table's load goes by the demand of its proxies, which this proxy adds to.
@@ -191,6 +192,7 @@
   clock_.advance(now);
   on_proxy_left(proxy);
   assignment_.add_proxy(proxy, membership_.zone_of(zone), usual_requests_per_second, clock_.evidence_time());
+  publisher_.on_proxy_joined(proxy, now);
   bind_unassigned_proxies();
   channel_.request_acknowledgement(now, actions_);
 }
@@ -198,6 +200,7 @@
 void Controller::ControlLoop::on_proxy_left(ProxyId proxy) {
   if (!assignment_.proxies().contains(proxy)) return;
   assignment_.remove_proxy(proxy);
+  publisher_.on_proxy_left(proxy);
   if (assignment_.proxies().empty()) channel_.on_all_proxies_left();
 }
 
--- a/src/policy/control_loop.h
+++ b/src/policy/control_loop.h
@@ -46,7 +46,7 @@
   void restore_endpoints();
   void bind_unassigned_proxies();
   void migrate_proxies();
-  void bind(ProxyId proxy, std::size_t subset, double queue_fraction);
+  void bind(ProxyId proxy, std::size_t subset, policy::TablePublisher::Binding binding);
   void publish();
   policy::TableSet plan_tables();
 
--- a/src/policy/message_batch.h
+++ b/src/policy/message_batch.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "policy/control_channel.h"
+#include "policy/message_pacing.h"
 #include "policy/subset_assignment.h"
 #include "policy/types.h"
 
@@ -13,30 +14,30 @@
 /// Enforces the limits on the channel's queue and on the number of messages to one proxy.
 class MessageBatch {
  public:
-  /// Limits how often each subset is sent a message.
-  struct Pacing {
-    const std::vector<Nanos>& last_messages;  ///< time of the last message, by subset
-    Nanos min_gap{};                          ///< minimum time between two messages to a subset
-  };
-  MessageBatch(ControlChannel& channel, const SubsetAssignment& assignment, Pacing pacing,
-               double message_overhead, Nanos now);
+  MessageBatch(ControlChannel& channel, const SubsetAssignment& assignment,
+               MessagePacing::Allowances allowances, double message_overhead, Nanos now);
 
   enum class Unassigned { excluded, included };
+  /// How much of the message limit a message may use; see `MessagePacing`.
+  enum class Urgency { normal, urgent };
   /// The result of a reservation.
   enum class Reservation {
     granted,
-    message_limit,  ///< a subset was sent a message too recently
+    message_limit,  ///< proxies were sent too many messages recently
     held_back,      ///< a subset is held back for an earlier urgent entry
     channel_full,   ///< the entries do not fit into the channel
   };
   /// Reserves channel capacity for `entries` entries to each proxy of the subsets and, if included, to each
   /// proxy without a subset. Reserves nothing unless the result is `granted`.
-  Reservation try_reserve(const std::vector<std::size_t>& subsets, double entries, Unassigned unassigned);
+  Reservation try_reserve(const std::vector<std::size_t>& subsets, double entries, Unassigned unassigned,
+                          Urgency urgency);
   /// Makes try_reserve() fail for the subset until release() is called. The subset's next message thus stays
   /// available for an urgent entry that did not fit now.
   void hold_back(std::size_t subset) { held_back_[subset] = true; }
   void release(std::size_t subset) { held_back_[subset] = false; }
   bool has_message(std::size_t subset) const { return has_message_[subset]; }
+  /// Returns whether the batch has a message to the proxy.
+  bool has_message_to(const Proxy& proxy) const;
 
   /// Returns how many entries may still be sent, summed over all proxies.
   double capacity() const { return capacity_; }
@@ -45,12 +46,11 @@
   void set_message_overhead(double entries) { message_overhead_ = entries; }
 
  private:
-  Reservation check(std::size_t subset) const;
+  Reservation check(std::size_t subset, Urgency urgency) const;
 
   ControlChannel& channel_;
   const SubsetAssignment& assignment_;
-  const Pacing pacing_;
-  const Nanos now_;
+  const MessagePacing::Allowances allowances_;
   double message_overhead_;
   double capacity_;
   std::vector<bool> has_message_;  // by subset: whether the batch has a message to the subset
--- a/src/policy/subset_assignment.cpp
+++ b/src/policy/subset_assignment.cpp
@@ -175,7 +175,8 @@
           static_cast<std::size_t>(most - subsets_.begin())};
 }
 
-std::optional<SubsetAssignment::Migration> SubsetAssignment::find_migration(std::size_t zone) const {
+std::optional<SubsetAssignment::Migration> SubsetAssignment::find_migration(
+    std::size_t zone, const std::function<bool(ProxyId)>& may_migrate) const {
   const auto [least_loaded, most_loaded] = extremes(zone);
   const auto& source = subsets_[most_loaded];
   const double load_gap = 1 - subsets_[least_loaded].load() / std::max(kTiny, source.load());
@@ -186,6 +187,7 @@
   for (const auto& [id, proxy] : proxies_) {
     if (proxy.subset != most_loaded || proxy.work > max_work) continue;
     if (migration && proxy.work <= moved_work) continue;
+    if (!may_migrate(id)) continue;
     migration = Migration{id, least_loaded};
     moved_work = proxy.work;
   }
--- a/src/policy/subset_assignment.h
+++ b/src/policy/subset_assignment.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -97,11 +98,12 @@
     ProxyId proxy{};
     std::size_t subset = 0;  ///< subset to which the proxy moves
   };
-  /// Returns the proxy to move from the most loaded to the least loaded subset of a zone.
-  /// Empty if the loads of the subsets are close.
+  /// Returns the proxy to move from the most loaded to the least loaded subset of a zone, among those for
+  /// which `may_migrate` returns true. Empty if the loads of the subsets are close.
   /// Loads of subsets drift apart because proxies differ, their demand changes and blocks lose replicas.
   /// Moving single proxies costs fewer entries than changing every entry of the tables.
-  std::optional<Migration> find_migration(std::size_t zone) const;
+  std::optional<Migration> find_migration(std::size_t zone,
+                                          const std::function<bool(ProxyId)>& may_migrate) const;
   /// Records that the proxy belongs to the subset from now on.
   void assign(ProxyId id, std::size_t subset, Nanos evidence_time);
 
--- a/src/policy/table_admission.cpp
+++ b/src/policy/table_admission.cpp
@@ -23,8 +23,9 @@
 
 /// Sends a fraction if it fits into the batch.
 void TableAdmission::send(TableId id, Position position, double fraction, RetryMode retry_mode,
-                          MessageBatch& batch) {
-  const auto reservation = batch.try_reserve({position.subset}, entries_, MessageBatch::Unassigned::excluded);
+                          MessageBatch::Urgency urgency, MessageBatch& batch) {
+  const auto reservation =
+      batch.try_reserve({position.subset}, entries_, MessageBatch::Unassigned::excluded, urgency);
   if (reservation != MessageBatch::Reservation::granted) return;
   auto& published = tables_[position.subset][position.group];
   if (fraction < 1 && published.fraction >= 1) actions_.log(log_events::table_admission_limited(id));
@@ -39,7 +40,9 @@
       auto& published = tables_[subset][group];
       const double fraction = wanted.admitted_fraction(subset, group);
       published.is_pending = fraction < published.fraction * (1 - kMinRelativeChange);
-      if (published.is_pending) send(wanted.id(subset, group), {subset, group}, fraction, retry_mode, batch);
+      if (published.is_pending)
+        send(wanted.id(subset, group), {subset, group}, fraction, retry_mode, MessageBatch::Urgency::urgent,
+             batch);
     }
   }
 }
@@ -58,7 +61,8 @@
       const bool changes_retries = published.was_sent && published.retry_mode != retry_mode;
       if (!rises && !changes_retries) continue;
       const double sent_fraction = rises ? fraction : std::min(fraction, published.fraction);
-      send(wanted.id(subset, group), {subset, group}, sent_fraction, retry_mode, batch);
+      send(wanted.id(subset, group), {subset, group}, sent_fraction, retry_mode,
+           MessageBatch::Urgency::normal, batch);
     }
   }
 }
--- a/src/policy/table_admission.h
+++ b/src/policy/table_admission.h
@@ -48,7 +48,8 @@
     std::size_t group = 0;
   };
 
-  void send(TableId id, Position position, double fraction, RetryMode retry_mode, MessageBatch& batch);
+  void send(TableId id, Position position, double fraction, RetryMode retry_mode,
+            MessageBatch::Urgency urgency, MessageBatch& batch);
 
   const double entries_;
   ActionSink& actions_;
--- a/src/policy/table_publisher.cpp
+++ b/src/policy/table_publisher.cpp
@@ -14,14 +14,6 @@
 /// Fraction of the channel's non-urgent limit below which the minimum relative change stops growing.
 /// The minimum relative change grows as the channel fills, in inverse proportion to the fraction left.
 constexpr double kMinChannelLeft = 0.2;
-/// Messages per window that are reserved for a proxy that joins or migrates between two messages to a subset.
-constexpr double kReservedMessages = 3;
-
-Nanos min_message_gap(const Settings& settings) {
-  if (settings.max_messages_per_window == 0) return Nanos{};
-  const double messages = static_cast<double>(settings.max_messages_per_window) - kReservedMessages;
-  return from_seconds(to_seconds(settings.message_window) / std::max(1.0, messages));
-}
 
 const char* text_of(MessageBatch::Reservation reason) {
   switch (reason) {
@@ -62,8 +54,8 @@
     : channel_(channel),
       actions_(actions),
       configured_overhead_(settings.message_overhead_entries),
-      min_message_gap_(min_message_gap(settings)),
-      publish_interval_(std::max<Nanos>(settings.report_interval, 3 * min_message_gap_ / 2)),
+      pacing_(settings),
+      publish_interval_(std::max<Nanos>(settings.report_interval, 3 * pacing_.min_gap() / 2)),
       admitted_fractions_(settings.classes.size(), 1.0),
       table_admission_(static_cast<double>(settings.classes.size()), actions),
       message_overhead_(configured_overhead_ + 1) {}  // 1 entry for the acknowledgement request
@@ -71,7 +63,7 @@
 void TablePublisher::set_table_count(std::size_t subsets, std::size_t groups) {
   if (!tables_.empty()) return;
   tables_.assign(subsets, std::vector<TableEntries>(groups));
-  last_messages_.assign(subsets, Nanos{});
+  pacing_.set_subset_count(subsets);
   table_admission_.set_table_count(subsets, groups);
 }
 
@@ -91,9 +83,10 @@
 void TablePublisher::publish(const WantedState& wanted, ReplicaMap& replicas, const SlowStart& slow_start,
                              const SubsetAssignment& assignment, Nanos now) {
   is_urgent_ = false;
-  const MessageBatch::Pacing pacing{last_messages_, min_message_gap_};
-  Publication publication{wanted,     replicas, slow_start,
-                          assignment, now,      {channel_, assignment, pacing, message_overhead_, now}};
+  Publication publication{
+      wanted,     replicas,
+      slow_start, assignment,
+      now,        {channel_, assignment, pacing_.allowances(assignment, now), message_overhead_, now}};
   eject(publication);
   release_subsets_without_endpoints(publication);
   table_admission_.lower(wanted.tables, wanted.retry_mode, publication.batch);
@@ -102,9 +95,11 @@
   const std::set<ReplicaId> unsent = send_tables(publication);
   readmit(publication, unsent);
   table_admission_.raise(wanted.tables, wanted.retry_mode, tables_, publication.batch);
+  const auto& batch = publication.batch;
+  pacing_.count_messages(
+      assignment, [&](const Proxy& proxy) { return batch.has_message_to(proxy); }, now);
   for (std::size_t subset = 0; subset < tables_.size(); ++subset) {
-    if (!publication.batch.has_message(subset) || assignment.subsets()[subset].proxies <= 0) continue;
-    last_messages_[subset] = now;
+    if (!batch.has_message(subset) || assignment.subsets()[subset].proxies <= 0) continue;
     next_publication_ = now + publish_interval_;
   }
 }
@@ -134,8 +129,8 @@
   }
   const std::vector<std::size_t> subsets(holding_subsets.begin(), holding_subsets.end());
   const auto entries = static_cast<double>(ids.size());
-  const auto reservation =
-      publication.batch.try_reserve(subsets, entries, MessageBatch::Unassigned::included);
+  const auto reservation = publication.batch.try_reserve(subsets, entries, MessageBatch::Unassigned::included,
+                                                         MessageBatch::Urgency::urgent);
   if (reservation != MessageBatch::Reservation::granted) {
     for (const auto id : ids) delay_ejection(id, reservation, publication.now);
     hold_back(publication, subsets);
@@ -173,8 +168,8 @@
 
 void TablePublisher::eject_one(Publication& publication, ReplicaId id, Replica& replica) {
   const auto holding_subsets = subsets_holding(id);
-  const auto reservation =
-      publication.batch.try_reserve(holding_subsets, 1, MessageBatch::Unassigned::included);
+  const auto reservation = publication.batch.try_reserve(
+      holding_subsets, 1, MessageBatch::Unassigned::included, MessageBatch::Urgency::urgent);
   if (reservation != MessageBatch::Reservation::granted) {
     delay_ejection(id, reservation, publication.now);
     hold_back(publication, holding_subsets);
@@ -195,9 +190,11 @@
 void TablePublisher::send_admission(Publication& publication) {
   const auto& wanted = publication.wanted;
   std::vector<std::size_t> changed;
+  auto urgency = MessageBatch::Urgency::normal;
   for (std::size_t cls = 0; cls < admitted_fractions_.size(); ++cls) {
     const double published = admitted_fractions_[cls];
     const double fraction = wanted.admitted_fractions[cls];
+    if (fraction < published - kMinRelativeChange) urgency = MessageBatch::Urgency::urgent;
     const bool admits_all_again = fraction >= 1 && published < 1;
     const bool differs = std::abs(fraction - published) > kMinRelativeChange;
     if (admits_all_again || differs || wanted.retry_mode != retry_mode_) changed.push_back(cls);
@@ -207,8 +204,11 @@
   std::iota(all_subsets.begin(), all_subsets.end(), std::size_t{0});
   const auto entries = static_cast<double>(changed.size());
   const auto reservation =
-      publication.batch.try_reserve(all_subsets, entries, MessageBatch::Unassigned::included);
-  if (reservation != MessageBatch::Reservation::granted) return;
+      publication.batch.try_reserve(all_subsets, entries, MessageBatch::Unassigned::included, urgency);
+  if (reservation != MessageBatch::Reservation::granted) {
+    is_urgent_ = is_urgent_ || urgency == MessageBatch::Urgency::urgent;
+    return;
+  }
   for (const auto cls : changed) {
     admitted_fractions_[cls] = wanted.admitted_fractions[cls];
     actions_.set_admitted_fraction(kAllTables, static_cast<ClassMask>(1U << cls), admitted_fractions_[cls],
@@ -270,8 +270,9 @@
   const double capacity = std::max(0.0, batch.capacity() / std::max(1.0, proxies) - batch.message_overhead());
   std::size_t fitting = std::min(changes.size(), static_cast<std::size_t>(capacity));
   if (fitting > 0) {
-    const auto reservation =
-        batch.try_reserve({subset}, static_cast<double>(fitting), MessageBatch::Unassigned::excluded);
+    const auto urgency = has_endpoints ? MessageBatch::Urgency::normal : MessageBatch::Urgency::urgent;
+    const auto reservation = batch.try_reserve({subset}, static_cast<double>(fitting),
+                                               MessageBatch::Unassigned::excluded, urgency);
     if (reservation != MessageBatch::Reservation::granted) fitting = 0;
   }
   if (!has_endpoints) batch.change_capacity(-urgent_capacity);
@@ -361,8 +362,13 @@
   for (auto& [id, replica] : publication.replicas) {
     // A replica returns only after its new entry was sent, since the weight that proxies have is outdated.
     if (!replica.ejected || !publication.may_serve(replica) || unsent.contains(id)) continue;
+    const auto holding_subsets = subsets_holding(id);
+    const bool all_have_endpoints =
+        std::all_of(holding_subsets.begin(), holding_subsets.end(),
+                    [&](std::size_t subset) { return has_endpoints(publication, subset); });
+    const auto urgency = all_have_endpoints ? MessageBatch::Urgency::normal : MessageBatch::Urgency::urgent;
     const auto reservation =
-        publication.batch.try_reserve(subsets_holding(id), 1, MessageBatch::Unassigned::included);
+        publication.batch.try_reserve(holding_subsets, 1, MessageBatch::Unassigned::included, urgency);
     if (reservation != MessageBatch::Reservation::granted) continue;
     actions_.set_ejected(id, false);
     replica.ejected = false;
@@ -380,12 +386,16 @@
 }
 
 bool TablePublisher::bind(ProxyId proxy, std::size_t subset, const std::vector<RoutingGroup>& groups,
-                          const ReplicaMap& replicas, double queue_fraction, Nanos now) {
+                          const ReplicaMap& replicas, Binding binding, Nanos now) {
+  const bool is_migration = binding == Binding::migration;
+  if (is_migration ? !pacing_.may_migrate(proxy, now) : !pacing_.may_bind(proxy, now)) return false;
   const auto entries = cost_of_binding(subset, replicas);
   if (!entries) return false;
+  const double queue_fraction = is_migration ? kNonUrgentQueueFraction : kJoiningQueueFraction;
   const double max_queued = queue_fraction * channel_.max_queued_entries();
   if (channel_.queued_entries(now) + *entries > max_queued) return false;
   channel_.add(*entries, 1);
+  pacing_.count_message(proxy, now);
   for (std::size_t group = 0; group < groups.size(); ++group) {
     actions_.bind(proxy, table_id(subset, group), groups[group].classes);
   }
--- a/src/policy/table_publisher.h
+++ b/src/policy/table_publisher.h
@@ -10,6 +10,7 @@
 #include "policy/action_sink.h"
 #include "policy/control_channel.h"
 #include "policy/message_batch.h"
+#include "policy/message_pacing.h"
 #include "policy/replica.h"
 #include "policy/settings.h"
 #include "policy/slow_start.h"
@@ -44,11 +45,18 @@
   void publish(const WantedState& wanted, ReplicaMap& replicas, const SlowStart& slow_start,
                const SubsetAssignment& assignment, Nanos now);
 
+  /// A proxy joined or left. The limit on messages counts from the joining.
+  void on_proxy_joined(ProxyId proxy, Nanos now) { pacing_.on_proxy_joined(proxy, now); }
+  void on_proxy_left(ProxyId proxy) { pacing_.on_proxy_left(proxy); }
+  /// Whether a proxy is bound for the first time, or moves to another subset.
+  enum class Binding { joining, migration };
   /// Binds a proxy to all tables of a subset at once.
-  /// Returns false without effect if any of these tables is empty, or if the entries would fill the channel's
-  /// queue beyond `queue_fraction` of its maximum.
+  /// Returns false without effect if any of these tables is empty, if the entries would fill the channel's
+  /// queue beyond the fraction for such bindings, or if the proxy was sent too many messages recently.
   bool bind(ProxyId proxy, std::size_t subset, const std::vector<RoutingGroup>& groups,
-            const ReplicaMap& replicas, double queue_fraction, Nanos now);
+            const ReplicaMap& replicas, Binding binding, Nanos now);
+  /// Returns whether a proxy may be moved to another subset now without exceeding its message limit.
+  bool may_migrate(ProxyId proxy, Nanos now) { return pacing_.may_migrate(proxy, now); }
   /// Returns the subsets with an entry of the replica in any of their published tables.
   std::vector<std::size_t> subsets_holding(ReplicaId id) const;
   /// Returns whether proxies admit only a fraction of the requests of any of the subset's tables.
@@ -105,11 +113,10 @@
   ControlChannel& channel_;
   ActionSink& actions_;
   const double configured_overhead_;
-  const Nanos min_message_gap_;  // minimum time between two messages to one proxy
+  MessagePacing pacing_;
   const Nanos publish_interval_;
 
   std::vector<std::vector<TableEntries>> tables_;            // published tables, by subset and routing group
-  std::vector<Nanos> last_messages_;                         // time of the last message, by subset
   Values admitted_fractions_;                                // published admitted fractions, by class
   RetryMode retry_mode_ = RetryMode::after_rejection_proof;  // published retry mode
   std::map<ReplicaId, DelayedEjection> delayed_ejections_;
--- a/src/routing_state/token_bucket_limiter.h
+++ b/src/policy/token_bucket_limiter.h
@@ -6,11 +6,12 @@
 
 #include "policy/types.h"
 
-namespace ospreypost::routing_state {
+namespace ospreypost::policy {
 
 /// Implements the message limit as a token bucket. If n messages are allowed per window, the bucket holds at
 /// most d tokens and is refilled with n minus d tokens per window, so no window contains more than n
-/// messages. The limiter is immutable; the state of each proxy is a `Bucket`.
+/// messages. If n is 1, the bucket holds one token and is refilled with one token per window. The limiter is
+/// immutable; the state of each proxy is a `Bucket`.
 class TokenBucketLimiter {
  public:
   /// `max_messages`: maximum number of messages within any period of length `window`; 0: no limit.
@@ -29,6 +30,12 @@
   /// without that knowledge run one after another. If the refill takes longer than `first_message_within` for
   /// one token, the bucket starts with as many tokens as it needs to have one token after that time.
   Bucket bucket_of_unknown_history(Nanos now, Nanos first_message_within) const;
+  /// Returns the maximum number of tokens in a bucket.
+  double depth() const { return depth_; }
+  /// Returns the time in which a bucket gains one token; 0 without a limit.
+  Nanos refill_time() const;
+  /// Refills the bucket up to `now`, and returns its tokens; always a full bucket without a limit.
+  double refill(Nanos now, Bucket& bucket) const;
   /// Refills the bucket up to `now`, and returns whether a message may be sent now. A normal message needs a
   /// full bucket, so that tokens are left for urgent messages. An urgent message needs one token.
   bool may_send(Nanos now, Bucket& bucket, bool is_urgent) const;
@@ -41,4 +48,4 @@
   const double tokens_per_second_;
 };
 
-}  // namespace ospreypost::routing_state
+}  // namespace ospreypost::policy
--- a/src/program.cmake
+++ b/src/program.cmake
@@ -25,7 +25,7 @@
   target_link_libraries(ospreypost_${name} PUBLIC ${PACKAGE_NEEDS})
 endfunction()
 
-ospreypost_package(routing_state routing_snapshot.cpp routing_state.cpp token_bucket_limiter.cpp send_queue.cpp
+ospreypost_package(routing_state routing_snapshot.cpp routing_state.cpp send_queue.cpp
   pull_delivery.cpp push_scheduler.cpp lease_table.cpp
   NEEDS ospreypost_policy)
 # A library of its own, as ospreypost_config needs it and the rest of dns/ needs ospreypost_config. It does no I/O.
--- a/src/routing_state/pull_delivery.cpp
+++ b/src/routing_state/pull_delivery.cpp
@@ -39,7 +39,7 @@
     ++counts_.rate_limited_queries;
     return is_urgent ? nullptr : proxy.answered;
   }
-  TokenBucketLimiter::take(proxy.bucket);
+  policy::TokenBucketLimiter::take(proxy.bucket);
   proxy.answered = proxy.latest;
   ++counts_.messages;
   proxy.queue.clear(counts_);
--- a/src/routing_state/pull_delivery.h
+++ b/src/routing_state/pull_delivery.h
@@ -15,9 +15,9 @@
 #include <memory>
 #include <vector>
 
+#include "policy/token_bucket_limiter.h"
 #include "routing_state/routing_snapshot.h"
 #include "routing_state/send_queue.h"
-#include "routing_state/token_bucket_limiter.h"
 
 namespace ospreypost::routing_state {
 
@@ -77,13 +77,13 @@
     std::shared_ptr<const ProxySnapshot> answered;  // configuration of the last answer; null: none yet
     std::shared_ptr<const ProxySnapshot> latest;    // newest published configuration; null: none yet
     SendQueue queue;
-    TokenBucketLimiter::Bucket bucket;
+    policy::TokenBucketLimiter::Bucket bucket;
     std::deque<PendingAcknowledgement> pending_acknowledgements;
   };
   static bool has_reached(const Proxy& proxy, SnapshotVersion version);
 
   const double message_overhead_entries_;
-  const TokenBucketLimiter limiter_;
+  const policy::TokenBucketLimiter limiter_;
   std::map<ProxyId, Proxy> proxies_;
   Counts counts_;
 };
--- a/src/routing_state/push_scheduler.cpp
+++ b/src/routing_state/push_scheduler.cpp
@@ -39,7 +39,7 @@
   // A proxy with a table has been sent messages before: by this process before the proxy was lost, by another
   // process, or by an earlier incarnation of this process.
   const Nanos first_message_within = limits_.urgent_change_timeout / kFirstMessageTimeoutDivisor;
-  const TokenBucketLimiter::Bucket bucket =
+  const policy::TokenBucketLimiter::Bucket bucket =
       has_no_table ? proxy.bucket : limiter_.bucket_of_unknown_history(now, first_message_within);
   proxy = Proxy{};
   proxy.joined = true;
@@ -82,7 +82,7 @@
   if (!proxy.joined || !proxy.latest) return;
   // The operator's rollback was itself a message to the proxy, so it counts against the message limit.
   const bool is_new = !rolled_back_to.empty() && rolled_back_to != proxy.rolled_back_to;
-  if (is_new) TokenBucketLimiter::take(proxy.bucket);
+  if (is_new) policy::TokenBucketLimiter::take(proxy.bucket);
   proxy.rolled_back_to = std::move(rolled_back_to);
   check_rollback(now, proxy);
 }
@@ -170,7 +170,7 @@
   if (priority == Priority::liveness_check) return PendingPush{id, nullptr, false};
   const bool is_new_message = proxy.sent != proxy.latest || proxy.rollback_is_unsafe;
   if (is_new_message) {
-    TokenBucketLimiter::take(proxy.bucket);
+    policy::TokenBucketLimiter::take(proxy.bucket);
     const Nanos time_in_channel = nanos(proxy.queue.entries() / limits_.entries_per_second);
     channel_free_at_ = std::max(channel_free_at_, now) + time_in_channel;
   }
--- a/src/routing_state/push_scheduler.h
+++ b/src/routing_state/push_scheduler.h
@@ -15,9 +15,9 @@
 #include <set>
 #include <vector>
 
+#include "policy/token_bucket_limiter.h"
 #include "routing_state/routing_snapshot.h"
 #include "routing_state/send_queue.h"
-#include "routing_state/token_bucket_limiter.h"
 
 namespace ospreypost::routing_state {
 
@@ -110,7 +110,7 @@
     std::set<ReplicaId> rolled_back_to;
     bool rollback_is_unsafe = false;  // whether the rollback's tables contain an ejected replica
     SendQueue queue;
-    TokenBucketLimiter::Bucket bucket;
+    policy::TokenBucketLimiter::Bucket bucket;
     Nanos not_before{};  // earliest time of the next push
     Nanos last_response{};
     Nanos backoff{};
@@ -137,7 +137,7 @@
   void remove(Proxy& proxy);
 
   const PushLimits limits_;
-  const TokenBucketLimiter limiter_;
+  const policy::TokenBucketLimiter limiter_;
   std::map<ProxyId, Proxy> proxies_;
   std::set<ReplicaId> ejected_;
   Nanos channel_free_at_{};  // time at which all messages sent so far have passed the channel
--- a/tests/policy/subset_assignment_test.cpp
+++ b/tests/policy/subset_assignment_test.cpp
@@ -137,7 +137,7 @@
 }
 
 TEST_F(TwoSubsetsTest, TheProxyWithTheMostDemandThatDoesNotReverseTheLoadsMigrates) {
-  const auto migration = fleet_.assignment.find_migration(0);
+  const auto migration = fleet_.assignment.find_migration(0, [](ProxyId) { return true; });
   ASSERT_TRUE(migration);
   // The subsets' loads are 16 and 10, so the migrating proxy may have a demand of 3 at most.
   EXPECT_EQ(migration->proxy, ProxyId{2});
@@ -149,7 +149,7 @@
 
 TEST_F(TwoSubsetsTest, NoProxyMigratesBetweenSimilarLoads) {
   fleet_.assignment.assign(ProxyId{2}, 1, 0s);
-  EXPECT_FALSE(fleet_.assignment.find_migration(0)) << "loads of 14 and 12";
+  EXPECT_FALSE(fleet_.assignment.find_migration(0, [](ProxyId) { return true; })) << "loads of 14 and 12";
 }
 
 TEST_F(TwoSubsetsTest, AProxyThatLeavesIsNoLongerCounted) {
--- a/tests/policy/table_publisher_test.cpp
+++ b/tests/policy/table_publisher_test.cpp
@@ -125,6 +125,69 @@
   EXPECT_EQ(fleet.sink.entries.size(), 1U);
 }
 
+// Guards against a drain that waits because an ordinary update was sent shortly before, as after a standstill
+// of the instance (review case 8).
+TEST(TablePublisherTest, ADrainIsSentRightAfterAnOrdinaryUpdate) {
+  PublishedFleet fleet;
+  fleet.wanted.tables.at(0, 0)[ReplicaId{2}] = 2;
+  fleet.publish_after(10s);
+  ASSERT_EQ(fleet.sink.entries.size(), 1U);
+  fleet.replica(1).endpoint.phase = EndpointPhase::draining;
+  fleet.wanted.tables.at(0, 0).erase(ReplicaId{1});
+  fleet.publish_after(1ms);
+  EXPECT_EQ(fleet.sink.ejections.size(), 1U);
+  EXPECT_TRUE(fleet.publisher.subsets_holding(ReplicaId{1}).empty());
+}
+
+// Guards against a lower admitted fraction that waits for the same reason.
+TEST(TablePublisherTest, ALowerAdmittedFractionIsSentRightAfterAnOrdinaryUpdate) {
+  PublishedFleet fleet;
+  fleet.wanted.tables.at(0, 0)[ReplicaId{2}] = 2;
+  fleet.publish_after(10s);
+  fleet.wanted.admitted_fractions = {0.5, 0.5};
+  fleet.wanted.tables.set_admitted_fraction(0, 0, 0.2);
+  fleet.publish_after(1ms);
+  EXPECT_EQ(fleet.sink.fractions.size(), 3U) << "one for each class, and one for the table";
+  fleet.wanted.admitted_fractions = {1, 1};
+  fleet.wanted.tables.set_admitted_fraction(0, 0, 1);
+  fleet.publish_after(1ms);
+  EXPECT_TRUE(fleet.sink.fractions.empty()) << "a higher fraction is not urgent";
+}
+
+// Guards against proxies without endpoints whose new entries wait for the same reason.
+TEST(TablePublisherTest, ATableWithoutEndpointsGetsNewOnesRightAfterAnUpdate) {
+  PublishedFleet fleet;
+  fleet.add(4, 10, 0);
+  for (std::uint32_t id = 0; id < 4; ++id) {
+    fleet.replica(id).breaker.trip(fleet.clock.now());
+    fleet.wanted.tables.at(0, 0).erase(ReplicaId{id});
+  }
+  fleet.wanted.tables.at(0, 0)[ReplicaId{3}] = 1;
+  fleet.publish_after(10s);
+  ASSERT_EQ(fleet.sink.ejections.size(), 4U);
+  fleet.wanted.tables.at(0, 0)[ReplicaId{4}] = 1;
+  fleet.publish_after(1ms);
+  EXPECT_EQ(fleet.sink.entries.size(), 1U);
+  fleet.replica(3).breaker.half_open(fleet.clock.now());
+  fleet.replica(4).breaker.trip(fleet.clock.now());
+  fleet.publish_after(1ms);
+  ASSERT_EQ(fleet.sink.ejections.size(), 2U);
+  EXPECT_FALSE(fleet.sink.ejections[1].ejected) << "replica 3 returns, as no other may be picked";
+}
+
+TEST(TablePublisherTest, AProxyMigratesOnlyWithMessagesToSpare) {
+  PublishedFleet fleet;
+  const auto& groups = fleet.classes.groups();
+  fleet.clock.advance(fleet.clock.now() + 10s);
+  const auto bind = [&](TablePublisher::Binding binding) {
+    return fleet.publisher.bind(ProxyId{1}, 0, groups, fleet.replicas, binding, fleet.clock.now());
+  };
+  EXPECT_TRUE(bind(TablePublisher::Binding::migration));
+  EXPECT_FALSE(bind(TablePublisher::Binding::migration));
+  fleet.clock.advance(fleet.clock.now() + 1s);
+  EXPECT_TRUE(bind(TablePublisher::Binding::migration)) << "14 messages in 10 s, of which 3 are reserved";
+}
+
 TEST(TablePublisherTest, AnEmptyTableIsNeverPublished) {
   PublishedFleet fleet;
   fleet.wanted.tables.at(0, 0).clear();
@@ -161,11 +224,14 @@
   fleet.channel.queued_entries(fleet.clock.now() + 100s);
   const Nanos now = fleet.clock.now() + 100s;
   // A binding costs 13 entries: 6 of message overhead, 1 binding, 4 table entries and 2 admitted fractions.
-  EXPECT_FALSE(fleet.publisher.bind(ProxyId{2}, 0, groups, fleet.replicas, kNonUrgentQueueFraction, now));
-  EXPECT_TRUE(fleet.publisher.bind(ProxyId{2}, 0, groups, fleet.replicas, kJoiningQueueFraction, now));
+  EXPECT_FALSE(
+      fleet.publisher.bind(ProxyId{2}, 0, groups, fleet.replicas, TablePublisher::Binding::migration, now));
+  EXPECT_TRUE(
+      fleet.publisher.bind(ProxyId{2}, 0, groups, fleet.replicas, TablePublisher::Binding::joining, now));
   ASSERT_EQ(fleet.sink.bindings.size(), 1U);
   EXPECT_EQ(fleet.sink.bindings[0].classes, 0b11);
-  EXPECT_FALSE(fleet.publisher.bind(ProxyId{3}, 0, groups, fleet.replicas, kJoiningQueueFraction, now));
+  EXPECT_FALSE(
+      fleet.publisher.bind(ProxyId{3}, 0, groups, fleet.replicas, TablePublisher::Binding::joining, now));
 }
 
 // Guards against cold replicas whose entries arrive before the admitted fraction that protects them.
@@ -220,41 +286,44 @@
   EXPECT_EQ(fleet.sink.fractions[2].retry, RetryMode::none);
 }
 
+MessagePacing::Allowances all_allowed() {
+  return {{MessagePacing::Allowance::all}, MessagePacing::Allowance::all};
+}
+
 TEST(MessageBatchTest, ReservesAllOrNothing) {
   PublishedFleet fleet;
-  const std::vector<Nanos> last_messages{Nanos{}};
-  MessageBatch batch(fleet.channel, fleet.assignment, {last_messages, 1s}, 6, fleet.clock.now());
+  MessageBatch batch(fleet.channel, fleet.assignment, all_allowed(), 6, fleet.clock.now());
   const double capacity = batch.capacity();
-  EXPECT_EQ(batch.try_reserve({0}, capacity, MessageBatch::Unassigned::excluded),
-            MessageBatch::Reservation::channel_full);
+  EXPECT_EQ(
+      batch.try_reserve({0}, capacity, MessageBatch::Unassigned::excluded, MessageBatch::Urgency::normal),
+      MessageBatch::Reservation::channel_full);
   EXPECT_EQ(batch.capacity(), capacity);
-  EXPECT_EQ(batch.try_reserve({0}, 10, MessageBatch::Unassigned::excluded),
+  EXPECT_EQ(batch.try_reserve({0}, 10, MessageBatch::Unassigned::excluded, MessageBatch::Urgency::normal),
             MessageBatch::Reservation::granted);
   EXPECT_EQ(batch.capacity(), capacity - 16);
-  EXPECT_EQ(batch.try_reserve({0}, 10, MessageBatch::Unassigned::excluded),
+  EXPECT_EQ(batch.try_reserve({0}, 10, MessageBatch::Unassigned::excluded, MessageBatch::Urgency::normal),
             MessageBatch::Reservation::granted);
   EXPECT_EQ(batch.capacity(), capacity - 26) << "each message has its overhead only once";
 }
 
 TEST(MessageBatchTest, AHeldBackSubsetAcceptsNoEntries) {
   PublishedFleet fleet;
-  const std::vector<Nanos> last_messages{Nanos{}};
-  MessageBatch batch(fleet.channel, fleet.assignment, {last_messages, 1s}, 6, fleet.clock.now());
+  MessageBatch batch(fleet.channel, fleet.assignment, all_allowed(), 6, fleet.clock.now());
   batch.hold_back(0);
-  EXPECT_EQ(batch.try_reserve({0}, 1, MessageBatch::Unassigned::excluded),
+  EXPECT_EQ(batch.try_reserve({0}, 1, MessageBatch::Unassigned::excluded, MessageBatch::Urgency::normal),
             MessageBatch::Reservation::held_back);
   batch.release(0);
-  EXPECT_EQ(batch.try_reserve({0}, 1, MessageBatch::Unassigned::excluded),
+  EXPECT_EQ(batch.try_reserve({0}, 1, MessageBatch::Unassigned::excluded, MessageBatch::Urgency::normal),
             MessageBatch::Reservation::granted);
 }
 
 TEST(MessageBatchTest, ProxiesWithoutASubsetAreCountedIfIncluded) {
   PublishedFleet fleet;
   fleet.assignment.add_proxy(ProxyId{2}, 0, 10, 0s);
-  const std::vector<Nanos> last_messages{Nanos{}};
-  MessageBatch batch(fleet.channel, fleet.assignment, {last_messages, 1s}, 6, fleet.clock.now());
+  MessageBatch batch(fleet.channel, fleet.assignment, all_allowed(), 6, fleet.clock.now());
   const double capacity = batch.capacity();
-  EXPECT_EQ(batch.try_reserve({}, 1, MessageBatch::Unassigned::included), MessageBatch::Reservation::granted);
+  EXPECT_EQ(batch.try_reserve({}, 1, MessageBatch::Unassigned::included, MessageBatch::Urgency::normal),
+            MessageBatch::Reservation::granted);
   EXPECT_EQ(batch.capacity(), capacity - 7);
 }
 
--- a/tests/program/token_bucket_limiter_test.cpp
+++ b/tests/program/token_bucket_limiter_test.cpp
@@ -1,5 +1,5 @@
 /// Tests the number of messages that the limiter allows, with generated attempts to send.
-#include "routing_state/token_bucket_limiter.h"
+#include "policy/token_bucket_limiter.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -7,7 +7,7 @@
 
 #include <deque>
 
-namespace ospreypost::routing_state {
+namespace ospreypost::policy {
 namespace {
 
 using namespace std::chrono_literals;
@@ -15,7 +15,7 @@
 constexpr Nanos kWindow = 10s;
 
 RC_GTEST_PROP(TokenBucketLimiterTest, NoWindowHoldsMoreThanAllowed, ()) {
-  const auto allowed = static_cast<std::size_t>(*rc::gen::inRange(2, 20));
+  const auto allowed = static_cast<std::size_t>(*rc::gen::inRange(1, 20));
   const TokenBucketLimiter limiter(allowed, kWindow);
   Nanos now = 100s;
   TokenBucketLimiter::Bucket bucket = limiter.full_bucket(now);
@@ -66,4 +66,4 @@
 }
 
 }  // namespace
-}  // namespace ospreypost::routing_state
+}  // namespace ospreypost::policy
