--- a/src/policy/table_publisher.cpp
+++ b/src/policy/table_publisher.cpp
@@ -110,8 +110,8 @@
     return known == publication.replicas.end() || !publication.needs_ejection(known->second);
   });
   std::vector<ReplicaId> kept_out;
-  for (auto& [id, replica] : publication.replicas) {
-    if (!publication.needs_ejection(replica)) continue;
+  for (const auto id : ids_to_eject(publication)) {
+    auto& replica = publication.replicas.at(id);
     if (replica.kept_out && replica.is_ready()) {
       kept_out.push_back(id);
     } else {
@@ -121,6 +121,22 @@
   if (!kept_out.empty()) eject_together(publication, kept_out);
 }
 
+/// Returns the replicas that have to be ejected, those first that wait longest. An ejection needs all subsets
+/// that hold the replica at once, and would never find them free if later ejections could use them before.
+std::vector<ReplicaId> TablePublisher::ids_to_eject(const Publication& publication) const {
+  std::vector<ReplicaId> ids;
+  for (const auto& [id, replica] : publication.replicas) {
+    if (publication.needs_ejection(replica)) ids.push_back(id);
+  }
+  const auto due_since = [&](ReplicaId id) {
+    const auto delayed = delayed_ejections_.find(id);
+    return delayed == delayed_ejections_.end() ? publication.now : delayed->second.since;
+  };
+  std::stable_sort(ids.begin(), ids.end(),
+                   [&](ReplicaId left, ReplicaId right) { return due_since(left) < due_since(right); });
+  return ids;
+}
+
 /// Ejects replicas whose tables would overload them. Without the others, each of them would get even more.
 void TablePublisher::eject_together(Publication& publication, const std::vector<ReplicaId>& ids) {
   std::set<std::size_t> holding_subsets;
--- a/src/policy/table_publisher.h
+++ b/src/policy/table_publisher.h
@@ -88,6 +88,7 @@
   struct Publication;
 
   void eject(Publication& publication);
+  std::vector<ReplicaId> ids_to_eject(const Publication& publication) const;
   void eject_one(Publication& publication, ReplicaId id, Replica& replica);
   void eject_together(Publication& publication, const std::vector<ReplicaId>& ids);
   void delay_ejection(ReplicaId id, MessageBatch::Reservation reason, Nanos now);
--- a/tests/policy/table_publisher_test.cpp
+++ b/tests/policy/table_publisher_test.cpp
@@ -175,6 +175,79 @@
   EXPECT_FALSE(fleet.sink.ejections[1].ejected) << "replica 3 returns, as no other may be picked";
 }
 
+/// Two zones with a subset and a proxy each. Replica 100 is in the tables of both subsets; replicas 0 to 19
+/// and 101 are in those of subset 0, replicas 20 to 39 and 102 in those of subset 1.
+struct TwoSubsets : Fleet {
+  static constexpr std::uint32_t kShared = 100;
+  TwoSubsets()
+      : Fleet(settings_of_two_zones()),
+        assignment(settings, classes),
+        channel(settings),
+        publisher(settings, channel, sink),
+        wanted{TableSet(2, 1), {1, 1}, RetryMode::after_rejection_proof} {
+    for (std::uint32_t id = 0; id < 40; ++id) add_to(id / 20, id);
+    for (const std::uint32_t id : {kShared, 101U}) add_to(0, id);
+    for (const std::uint32_t id : {kShared, 102U}) add_to(1, id);
+    assignment.lay_out(replicas, {1e9, 5});
+    publisher.set_table_count(2, 1);
+    for (std::uint16_t zone = 0; zone < 2; ++zone) {
+      assignment.add_proxy(ProxyId{zone}, zone, 10, 0s);
+      assignment.assign(ProxyId{zone}, zone, 0s);
+    }
+    publish();
+  }
+  void add_to(std::size_t subset, std::uint32_t id) {
+    add(id, 10, 0).endpoint.zone = subset;
+    wanted.tables.at(subset, 0)[ReplicaId{id}] = 1;
+  }
+  void drain(std::uint32_t id) {
+    replicas.at(ReplicaId{id}).endpoint.phase = EndpointPhase::draining;
+    for (std::size_t subset = 0; subset < 2; ++subset) wanted.tables.at(subset, 0).erase(ReplicaId{id});
+  }
+  void publish() { publisher.publish(wanted, replicas, slow_start, assignment, clock.now()); }
+  bool is_ejected(std::uint32_t id) const { return replicas.at(ReplicaId{id}).ejected; }
+
+  SubsetAssignment assignment;
+  ControlChannel channel;
+  TablePublisher publisher;
+  WantedState wanted;
+
+ private:
+  static Settings settings_of_two_zones() {
+    Settings settings = publisher_settings(1e6);
+    settings.zones = 2;
+    settings.max_messages_per_window = 5;  // 3 at once, and one each 5 s
+    return settings;
+  }
+};
+
+// Guards against a drain that waits without bound for two subsets to be free at once, while drains of
+// replicas with lower ids keep one or the other busy (review case 7).
+TEST(TablePublisherTest, ADrainThatWaitsForTwoSubsetsIsNotOvertaken) {
+  TwoSubsets fleet;
+  std::uint32_t next_of_subset_0 = 0;
+  std::uint32_t next_of_subset_1 = 20;
+  const auto drain = [&](std::uint32_t& next) {
+    fleet.drain(next++);
+    fleet.publish();
+  };
+  // Uses up the messages of both subsets such that the subsets gain their next ones 2.5 s apart.
+  drain(next_of_subset_0);
+  fleet.clock.advance(fleet.clock.now() + 7500ms);
+  for (int message = 0; message < 2; ++message) drain(next_of_subset_0);
+  for (int message = 0; message < 3; ++message) drain(next_of_subset_1);
+  fleet.drain(TwoSubsets::kShared);
+  fleet.publish();
+  const Nanos notified = fleet.clock.now();
+  while (!fleet.is_ejected(TwoSubsets::kShared) && fleet.clock.now() < notified + 40s) {
+    if (fleet.is_ejected(next_of_subset_0 - 1)) fleet.drain(next_of_subset_0++);
+    if (fleet.is_ejected(next_of_subset_1 - 1)) fleet.drain(next_of_subset_1++);
+    fleet.clock.advance(fleet.clock.now() + 500ms);
+    fleet.publish();
+  }
+  EXPECT_LE(fleet.clock.now() - notified, 5500ms) << "the time to gain a message, and one step";
+}
+
 TEST(TablePublisherTest, AProxyMigratesOnlyWithMessagesToSpare) {
   PublishedFleet fleet;
   const auto& groups = fleet.classes.groups();
