HTTP messages take no more memory than their limits say

Cause: three holes in http::Connection. (1) The size line of a chunk and trailers were kept until their end, however long. (2) The parser ignores the limit of a body whose first bytes arrive in the same read as its head, as it goes on from the head to the body in one call. (3) fetch() accepted 64 MB from every peer, 16 health checks at once. Change: what the parser cannot use yet is bounded by the limit of the head and one read; the head is parsed in a call of its own; each caller of fetch() states the size that it expects, 16 KiB for a load report.

--- a/fuzz/receiver.cpp
+++ b/fuzz/receiver.cpp
@@ -65,8 +65,9 @@
     default:
       request = {"POST", "/rollback?version=" + std::to_string(printable.size()), "", "", body, true};
   }
-  const auto status =
-      http::fetch(receiver.address(), request, net::Steady::now() + std::chrono::seconds(5)).status;
+  const auto status = http::fetch(receiver.address(), request, http::kMaxStatusBytes,
+                                  net::Steady::now() + std::chrono::seconds(5))
+                          .status;
   if (status == 507) std::abort();
   for (const auto& entry : fs::directory_iterator(base_folder.path)) {
     if (entry.path().filename() != "tables") std::abort();
--- a/src/cli/receive.cpp
+++ b/src/cli/receive.cpp
@@ -37,7 +37,8 @@
 int show_generations(const std::string& at, const std::string& proxy) {
   http::Request request;
   request.target = proxy.empty() ? "/state" : "/generations/" + proxy;
-  const auto answer = http::fetch(net::Address::parse(at), request, request_deadline());
+  const auto answer =
+      http::fetch(net::Address::parse(at), request, http::kMaxStatusBytes, request_deadline());
   if (answer.status != 200) throw net::Error(answer.body.substr(0, answer.body.find('\n')));
   const auto state = files::read_state(answer.body);
   for (const auto& stamp : state.kept) {
@@ -54,8 +55,8 @@
   request.method = "POST";
   const auto query = "?version=" + std::to_string(version);
   request.target = governor.empty() ? "/rollback" + query : "/rollback/" + target + query;
-  const auto answer =
-      http::fetch(net::Address::parse(governor.empty() ? target : governor), request, request_deadline());
+  const auto answer = http::fetch(net::Address::parse(governor.empty() ? target : governor), request,
+                                  http::kMaxStatusBytes, request_deadline());
   if (answer.status == 200) return 0;
   std::cerr << answer.body;
   return 1;
--- a/src/cli/show.cpp
+++ b/src/cli/show.cpp
@@ -44,7 +44,7 @@
   http::Request request;
   request.target = "/" + options.what;
   const auto deadline = net::Steady::now() + std::chrono::seconds(5);
-  const auto answer = http::fetch(net::Address::parse(options.at), request, deadline);
+  const auto answer = http::fetch(net::Address::parse(options.at), request, http::kMaxStatusBytes, deadline);
   if (answer.status != 200)
     throw net::Error("the governor answered with status " + std::to_string(answer.status));
   if (options.json) {
--- a/src/control_plane/health_check.cpp
+++ b/src/control_plane/health_check.cpp
@@ -10,6 +10,8 @@
 
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
+// Maximum size of a load report, which has a few names and numbers.
+constexpr std::size_t kMaxLoadReportBytes = std::size_t{16} << 10;
 
 }  // namespace
 
@@ -21,7 +23,8 @@
   try {
     http::Request request;
     request.target = check.path;
-    const auto response = http::fetch(check.address, request, started + check.timeout, cancellation);
+    const auto response =
+        http::fetch(check.address, request, kMaxLoadReportBytes, started + check.timeout, cancellation);
     result.refused = response.status == kStatusUnavailable;
     if (response.status == kStatusOk) {
       auto load = parse_load(response.body);
--- a/src/fakes/faulty_link.cpp
+++ b/src/fakes/faulty_link.cpp
@@ -80,7 +80,8 @@
   }
   try {
     const auto forward = [&](const http::Request& push_request) {
-      return http::fetch(receiver_, push_request, net::Steady::now() + kForwardTimeout);
+      return http::fetch(receiver_, push_request, http::kMaxStatusBytes,
+                         net::Steady::now() + kForwardTimeout);
     };
     if (fault == LinkFault::torn || fault == LinkFault::slow) {
       send_in_pieces(request, fault == LinkFault::torn ? torn_bytes : std::string::npos,
--- a/src/fakes/proxy.cpp
+++ b/src/fakes/proxy.cpp
@@ -423,7 +423,7 @@
     if (addresses.cut) continue;
     held.unlock();
     try {
-      http::fetch(addresses.reports, request, net::Steady::now() + 1s);
+      http::fetch(addresses.reports, request, http::kMaxStatusBytes, net::Steady::now() + 1s);
     } catch (const net::Error&) {
       // A report that can't be sent is lost. The next report covers only the time after it.
     }
--- a/src/files/pusher.cpp
+++ b/src/files/pusher.cpp
@@ -9,7 +9,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr Nanos kMaxWait = 500ms;  // longest time between two checks for a push
+constexpr std::size_t kMaxStateBytes = std::size_t{1} << 20;  // of a receiver's answer
+constexpr Nanos kMaxWait = 500ms;                             // longest time between two checks for a push
 
 routing_state::RemoteState remote_state_of(const State& state) {
   return {state.any,
@@ -143,7 +144,7 @@
   http::Request request;
   request.target = "/state";
   if (renewal) request.target += "?epoch=" + std::to_string(renewal->epoch) + "&owner=" + renewal->owner;
-  const auto answer = http::fetch(*proxy.receiver, request, deadline);
+  const auto answer = http::fetch(*proxy.receiver, request, kMaxStateBytes, deadline);
   if (answer.status != 200)
     throw net::Error("its receiver answered with status " + std::to_string(answer.status));
   return read_state(answer.body);
@@ -163,7 +164,7 @@
     request.method = "POST";
     request.target = "/rollback?version=" + std::to_string(version);
     request.body = nlohmann::json(excluded).dump();
-    const auto answer = http::fetch(*proxy.receiver, request, deadline);
+    const auto answer = http::fetch(*proxy.receiver, request, kMaxStateBytes, deadline);
     if (answer.status != 200) throw net::Error(answer.body.substr(0, answer.body.find('\n')));
   }
   const auto state = fetch_state(id);
@@ -184,7 +185,7 @@
   request.target = push.overrides_rollback ? "/generation?recall" : "/generation";
   request.content_type = "application/json";
   request.body = write_generation(generation);
-  const auto answer = http::fetch(*proxy.receiver, request, deadline);
+  const auto answer = http::fetch(*proxy.receiver, request, kMaxStateBytes, deadline);
   if (answer.status == 200) {
     // A response to another push, delayed or duplicated by the network, does not confirm this push.
     if (read_state(answer.body).newest.stamp != generation.stamp)
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -14,6 +14,8 @@
 
 constexpr auto kStopCheckInterval = 200ms;  // Maximum time until the listening thread notices stop().
 constexpr std::string_view kUserAgent = "ospreypost";
+constexpr std::size_t kReadBufferBytes = 16384;
+constexpr std::size_t kMaxResponseHeaderBytes = 8192;
 
 unsigned status_of(const boost::system::error_code& error) {
   if (error == beast::error::body_limit) return 413;
@@ -21,6 +23,13 @@
   return 400;
 }
 
+// Throws if the parser could not use so many bytes of a message. They belong to a chunk's size line or to
+// trailers without an end, as the parser itself limits heads and bodies.
+void check_unparsed(std::size_t unparsed_bytes, std::size_t max_header_bytes) {
+  if (unparsed_bytes > max_header_bytes + kReadBufferBytes)
+    throw RequestRejected(431, "a chunk's size line or the trailers are too long");
+}
+
 template <typename Message>
 std::string to_text(const Message& message) {
   std::ostringstream text;
@@ -30,12 +39,31 @@
 
 }  // namespace
 
+// Parses the received bytes as far as possible. Returns true if the message is complete.
+template <typename Parser>
+bool Connection::parse_received(Parser& parser) {
+  bool has_progress = true;
+  while (has_progress && !unparsed_.empty()) {
+    // A parser that goes on from the head to the body within one call ignores that the declared length of the
+    // body is above the limit, so the head is parsed in a call of its own.
+    const bool had_header = parser.is_header_done();
+    parser.eager(had_header);
+    boost::system::error_code error;
+    const auto parsed = parser.put(boost::asio::buffer(unparsed_), error);
+    unparsed_.erase(0, parsed);
+    if (error && error != beast::error::need_more) throw RequestRejected(status_of(error), error.message());
+    if (parser.is_done()) return true;
+    has_progress = parser.is_header_done() && !had_header;
+  }
+  return false;
+}
+
 // Reads one message into `parser`. The first byte must arrive by `first_byte_deadline`, the whole message
 // within `message_timeout` after its first byte. Returns false if the stream ends before the first byte.
 template <typename Parser>
-bool Connection::read_into(Parser& parser, net::Deadline first_byte_deadline,
+bool Connection::read_into(Parser& parser, std::size_t max_header_bytes, net::Deadline first_byte_deadline,
                            net::Steady::duration message_timeout) {
-  std::array<char, 16384> buffer{};
+  std::array<char, kReadBufferBytes> buffer{};
   auto deadline = first_byte_deadline;
   bool message_started = false;
   for (;;) {
@@ -44,11 +72,8 @@
     if (!unparsed_.empty()) {
       if (!message_started) deadline = net::Steady::now() + message_timeout;
       message_started = true;
-      boost::system::error_code error;
-      const auto parsed = parser.put(boost::asio::buffer(unparsed_), error);
-      unparsed_.erase(0, parsed);
-      if (error && error != beast::error::need_more) throw RequestRejected(status_of(error), error.message());
-      if (parser.is_done()) return true;
+      if (parse_received(parser)) return true;
+      check_unparsed(unparsed_.size(), max_header_bytes);
     }
     std::size_t received = 0;
     try {
@@ -71,10 +96,10 @@
 
 std::optional<Request> Connection::read_request(const Limits& limits) {
   beast::request_parser<beast::string_body> parser;
-  parser.eager(true);
   parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
   parser.body_limit(limits.max_body_bytes);
-  if (!read_into(parser, net::Steady::now() + limits.idle, limits.message_timeout)) return std::nullopt;
+  if (!read_into(parser, limits.max_header_bytes, net::Steady::now() + limits.idle, limits.message_timeout))
+    return std::nullopt;
   auto message = parser.release();
   Request request;
   request.method = std::string(message.method_string());
@@ -88,9 +113,9 @@
 
 Response Connection::read_response(std::size_t max_body_bytes, net::Deadline deadline) {
   beast::response_parser<beast::string_body> parser;
-  parser.eager(true);
   parser.body_limit(max_body_bytes);
-  if (!read_into(parser, deadline, deadline - net::Steady::now()))
+  parser.header_limit(static_cast<std::uint32_t>(kMaxResponseHeaderBytes));
+  if (!read_into(parser, kMaxResponseHeaderBytes, deadline, deadline - net::Steady::now()))
     throw net::Error("the peer closed the connection without a response");
   auto message = parser.release();
   Response response;
@@ -107,7 +132,8 @@
   beast::response_parser<beast::string_body> parser;
   parser.eager(true);
   parser.body_limit(boost::none);
-  std::array<char, 16384> buffer{};
+  parser.header_limit(static_cast<std::uint32_t>(kMaxResponseHeaderBytes));
+  std::array<char, kReadBufferBytes> buffer{};
   auto line_deadline = net::Steady::now() + line_timeout;
   while (!parser.is_done()) {
     // Only complete lines extend the deadline, so that a peer that sends single bytes is treated as silent. A
@@ -123,8 +149,7 @@
       if (error && error != beast::error::need_more) throw net::Error(error.message());
       if (error) break;
     }
-    if (unparsed_.size() > max_line_bytes)
-      throw net::Error("unparsed bytes exceed the maximum length of a line");
+    check_unparsed(unparsed_.size(), kMaxResponseHeaderBytes);
     if (!parser.is_header_done()) continue;
     if (parser.get().result_int() != 200)
       throw net::Error("expected status 200, received " + std::to_string(parser.get().result_int()));
@@ -168,9 +193,8 @@
 
 bool Connection::is_open() const { return unparsed_.empty() && net::is_idle(socket_); }
 
-Response fetch(const net::Address& address, const Request& request, net::Deadline deadline,
-               const net::CancellationEvent* cancellation) {
-  constexpr std::size_t max_body_bytes = std::size_t{64} << 20;
+Response fetch(const net::Address& address, const Request& request, std::size_t max_body_bytes,
+               net::Deadline deadline, const net::CancellationEvent* cancellation) {
   Connection connection(net::connect(address, deadline, cancellation), cancellation);
   auto single_request = request;
   single_request.keep_alive = false;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -39,6 +39,9 @@
   net::Steady::duration message_timeout = std::chrono::seconds(3);
 };
 
+// Maximum size of a response about the state of an instance or a receiver.
+inline constexpr std::size_t kMaxStatusBytes = std::size_t{64} << 20;
+
 // Thrown for a request that cannot be read. `status` is the HTTP status of the response, what() its body.
 class RequestRejected : public net::Error {
  public:
@@ -76,7 +79,10 @@
 
  private:
   template <typename Parser>
-  bool read_into(Parser& parser, net::Deadline first_byte_deadline, net::Steady::duration message_timeout);
+  bool parse_received(Parser& parser);
+  template <typename Parser>
+  bool read_into(Parser& parser, std::size_t max_header_bytes, net::Deadline first_byte_deadline,
+                 net::Steady::duration message_timeout);
 
   net::Socket socket_;
   const net::CancellationEvent* cancellation_;
@@ -84,9 +90,9 @@
 };
 
 // Sends one request on a new connection and returns the response. Throws net::Error if the connection fails,
-// the response is malformed, or the response is not received by the deadline.
-Response fetch(const net::Address& address, const Request& request, net::Deadline deadline,
-               const net::CancellationEvent* cancellation = nullptr);
+// the response is malformed, its body exceeds `max_body_bytes`, or it is not received by the deadline.
+Response fetch(const net::Address& address, const Request& request, std::size_t max_body_bytes,
+               net::Deadline deadline, const net::CancellationEvent* cancellation = nullptr);
 
 // An HTTP server. Serves a limited number of connections at once; one client address may have at most half of
 // them. Further connections are rejected with status 503.
--- a/src/scenario/run.cpp
+++ b/src/scenario/run.cpp
@@ -186,7 +186,8 @@
     try {
       http::Request request;
       request.target = "/versions";
-      const auto response = http::fetch(environment_->reports(), request, net::Steady::now() + 2s);
+      const auto response =
+          http::fetch(environment_->reports(), request, http::kMaxStatusBytes, net::Steady::now() + 2s);
       const auto rows = nlohmann::json::parse(response.body);
       max_queued_entries_ = std::max(max_queued_entries_, rows.at(0).value("worst-waiting", 0.0));
     } catch (const std::exception&) {
@@ -200,11 +201,12 @@
     http::Request request;
     request.target = "/generations/" + proxy;
     const auto until = net::Steady::now() + 2s;
-    const auto state = nlohmann::json::parse(http::fetch(environment_->reports(), request, until).body);
+    const auto state = nlohmann::json::parse(
+        http::fetch(environment_->reports(), request, http::kMaxStatusBytes, until).body);
     request.method = "POST";
     for (const auto& generation : state.at("kept")) {
       request.target = "/rollback/" + proxy + "?version=" + generation.at(1).dump();
-      if (http::fetch(environment_->reports(), request, until).status == 200) return;
+      if (http::fetch(environment_->reports(), request, http::kMaxStatusBytes, until).status == 200) return;
     }
     throw net::Error("the control plane accepted no rollback for proxy " + proxy);
   }
--- a/tests/program/files_test.cpp
+++ b/tests/program/files_test.cpp
@@ -243,7 +243,8 @@
   TemporaryFolder folder_on_disk;
   Receiver receiver({{"127.0.0.1", 0}, folder_on_disk.path.string(), 3, true, 50ms});
   const auto send = [&](const std::string& method, const std::string& target, const std::string& body) {
-    return http::fetch(receiver.address(), {method, target, "", "", body, true}, net::Steady::now() + 2s);
+    return http::fetch(receiver.address(), {method, target, "", "", body, true}, http::kMaxStatusBytes,
+                       net::Steady::now() + 2s);
   };
   EXPECT_FALSE(read_state(send("GET", "/state", "").body).any);
   // The reader has not confirmed yet.
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -53,11 +53,93 @@
 TEST(Http, RejectsInvalidRequestsWithTheStatusOfTheCause) {
   TestServer test_server;
   EXPECT_EQ(test_server.status("POST / HTTP/1.1\r\ncontent-length: 2000\r\n\r\n"), 413U);
+  EXPECT_EQ(test_server.status("POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n7d0\r\n"), 413U);
   EXPECT_EQ(test_server.status("GET / HTTP/1.1\r\na: " + std::string(600, 'x') + "\r\n\r\n"), 431U);
   EXPECT_EQ(test_server.status("nonsense\r\n\r\n"), 400U);
   EXPECT_EQ(test_server.status("POST / HTTP/1.1\r\ncontent-length: 20\r\n\r\nslow"), 408U);
 }
 
+// Guards against a body above the limit that is read to its end if its first bytes arrive together with the
+// head.
+TEST(Http, RejectsABodyAboveTheLimitThatArrivesWithItsHead) {
+  TestServer test_server;
+  EXPECT_EQ(test_server.status("POST / HTTP/1.1\r\ncontent-length: 1001\r\n\r\n" + std::string(1001, 'x')),
+            413U);
+  EXPECT_EQ(test_server.status("POST / HTTP/1.1\r\ncontent-length: 1000\r\n\r\n" + std::string(1000, 'x')),
+            200U);
+  const http::Request request{"POST", "/", "", "", std::string(500, 'x'), true};
+  EXPECT_THROW(fetch(test_server.server.address(), request, 504, net::Steady::now() + 2s), net::Error);
+  EXPECT_EQ(fetch(test_server.server.address(), request, 505, net::Steady::now() + 2s).body.size(), 505U);
+}
+
+// Guards against a size line of a chunk, or trailers, that go on without an end and are kept in memory.
+TEST(Http, RejectsFramingWithoutAnEnd) {
+  TestServer test_server;
+  const std::string head = "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n";
+  const std::size_t too_many = TestServer::limits().max_header_bytes + 16384 + 1;
+  EXPECT_EQ(test_server.status(head + std::string(too_many, '1').replace(1, 1, ";")), 431U);
+  std::string trailers = "0\r\n";
+  while (trailers.size() < too_many) trailers += "a:b\r\n";
+  EXPECT_EQ(test_server.status(head + trailers.substr(0, too_many)), 431U);
+}
+
+/// Accepts one connection, sends `head`, and then `piece` until the client closes the connection or `most`
+/// bytes were sent. Returns the number of bytes sent.
+std::size_t send_endlessly(const net::Socket& listener, const std::string& head, const std::string& piece,
+                           std::size_t most) {
+  const auto accepted = net::accept(listener, net::Steady::now() + 5s);
+  std::size_t sent = 0;
+  try {
+    net::write_fully(accepted->first, head, net::Steady::now() + 5s);
+    for (; sent < most; sent += piece.size())
+      net::write_fully(accepted->first, piece, net::Steady::now() + 5s);
+  } catch (const net::Error&) {
+    // The client closed the connection.
+  }
+  return sent;
+}
+
+struct EndlessResponse {
+  const char* name;
+  const char* head;
+  std::string piece;
+};
+
+class EndlessResponseTest : public ::testing::TestWithParam<EndlessResponse> {};
+
+// Guards against a peer whose response goes on without an end and is kept in memory, as a replica's answer to
+// a health check was.
+TEST_P(EndlessResponseTest, IsNotReadPastItsLimit) {
+  const net::Socket listener = net::listen_tcp({"127.0.0.1", 0}, 1);
+  constexpr std::size_t kMost = std::size_t{256} << 20;
+  std::size_t sent = 0;
+  std::thread peer([&] { sent = send_endlessly(listener, GetParam().head, GetParam().piece, kMost); });
+  EXPECT_THROW(fetch(net::local_address(listener), {}, 1000, net::Steady::now() + 30s), net::Error);
+  peer.join();
+  // The buffers of the sockets take some of it.
+  EXPECT_LT(sent, kMost / 4);
+}
+
+std::string repeated(const std::string& piece, std::size_t times) {
+  std::string text;
+  for (std::size_t time = 0; time < times; ++time) text += piece;
+  return text;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Responses, EndlessResponseTest,
+    ::testing::Values(EndlessResponse{"Body", "HTTP/1.1 200 OK\r\n\r\n", std::string(65536, 'x')},
+                      EndlessResponse{"Head", "HTTP/1.1 200 OK\r\n", repeated("a:b\r\n", 8000)},
+                      EndlessResponse{"Chunks", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+                                      repeated("1\r\nx\r\n", 8000)},
+                      EndlessResponse{"ChunkExtension",
+                                      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1",
+                                      repeated(";a=b", 16000)},
+                      EndlessResponse{"Trailers",
+                                      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+                                      repeated("a:b\r\n", 8000)}),
+    [](const auto& test) { return test.param.name; });
+
 TEST(Http, DoesNotExtendTheDeadlineWithEachByteOfASlowRequest) {
   TestServer test_server;
   const auto connection = test_server.send("G");
