Documents from peers take memory in proportion to their size

Cause: the parsed form of nested and empty JSON values takes up to 70 times their text, a line of discovery had a limit of its own instead of a share of the process's memory, and up to 64 requests were parsed at once. A line of discovery may take a 48th of limits.memory_mb, which is now read, and complete lines are held to the limit, too. Four OTLP requests are parsed at once.

--- a/src/control_plane/http_api.cpp
+++ b/src/control_plane/http_api.cpp
@@ -100,6 +100,7 @@
     return text_response(415, "unsupported content type: expected application/json\n");
   if (!request.content_encoding.empty() && request.content_encoding != "identity")
     return text_response(415, "unsupported content encoding: expected none or identity\n");
+  const ParserSlot slot(free_parsers_);
   std::vector<load_reports::MetricsReport> reports;
   try {
     reports = load_reports::parse_metrics(request.body);
--- a/src/control_plane/http_api.h
+++ b/src/control_plane/http_api.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
 #include <memory>
+#include <semaphore>
 #include <string>
 
 #include "config/config.h"
@@ -46,9 +48,26 @@
   http::Response roll_back(const std::string& proxy_and_query);
   http::Response show_status(const std::string& target);
 
+  static constexpr std::ptrdiff_t kMaxParsers = 4;
+  // Waits for a free parser, and occupies it until destroyed.
+  class ParserSlot {
+   public:
+    explicit ParserSlot(std::counting_semaphore<>& free_parsers) : free_parsers_(free_parsers) {
+      free_parsers_.acquire();
+    }
+    ~ParserSlot() { free_parsers_.release(); }
+    ParserSlot(const ParserSlot&) = delete;
+    ParserSlot& operator=(const ParserSlot&) = delete;
+
+   private:
+    std::counting_semaphore<>& free_parsers_;
+  };
+
   const Targets targets_;
   const std::shared_ptr<spdlog::logger> log_;
   std::atomic<files::Pusher*> pusher_ = nullptr;
+  // Limits how many requests are parsed at once, as a parsed request takes several times its size.
+  std::counting_semaphore<> free_parsers_{kMaxParsers};
 };
 
 }  // namespace ospreypost::control_plane
--- a/src/discovery/discovery_watcher.cpp
+++ b/src/discovery/discovery_watcher.cpp
@@ -25,7 +25,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kMaxLineBytes = std::size_t{8} << 20;
 constexpr milliseconds kMinBackoff{50};
 constexpr milliseconds kMaxBackoff{1000};
 constexpr std::size_t kMaxDrainingWatches = 4;
@@ -103,7 +102,7 @@
 
 void DiscoveryWatcher::AddressWatch::drain() {
   const std::lock_guard lock(mutex_);
-  ends_at_ = net::Steady::now() + watcher_.timeouts_.draining;
+  ends_at_ = net::Steady::now() + watcher_.limits_.draining;
   if (!watching_) cancellation_.set();
   changed_.notify_all();
 }
@@ -146,11 +145,11 @@
 }
 
 void DiscoveryWatcher::AddressWatch::watch() {
-  const auto& timeouts = watcher_.timeouts_;
-  http::Connection connection(net::connect(address_, net::Steady::now() + timeouts.connect, &cancellation_),
+  const auto& limits = watcher_.limits_;
+  http::Connection connection(net::connect(address_, net::Steady::now() + limits.connect, &cancellation_),
                               &cancellation_);
   const auto request = make_request();
-  connection.write(request, address_.text(), net::Steady::now() + timeouts.connect);
+  connection.write(request, address_.text(), net::Steady::now() + limits.connect);
   received_complete_list_ = false;
   {
     const std::lock_guard lock(mutex_);
@@ -160,7 +159,7 @@
     const std::lock_guard lock(mutex_);
     return ends_at_.value_or(kNoDeadline);
   };
-  connection.read_lines(kMaxLineBytes, timeouts.idle, deadline,
+  connection.read_lines(limits.max_line_bytes, limits.idle, deadline,
                         [this](std::string_view line) { on_line(line); });
 }
 
@@ -173,7 +172,7 @@
 
 void DiscoveryWatcher::AddressWatch::on_line(std::string_view line) {
   const auto now = net::Steady::now();
-  const bool server_restarted = stale_since_ && now - *stale_since_ >= watcher_.timeouts_.stale;
+  const bool server_restarted = stale_since_ && now - *stale_since_ >= watcher_.limits_.stale;
   if (server_restarted && !needs_complete_list_) {
     needs_complete_list_ = true;
     throw net::Error(
@@ -196,8 +195,8 @@
 }
 
 DiscoveryWatcher::DiscoveryWatcher(const net::Address& address, std::uint64_t revision,
-                                   EndpointListHandler& handler, const Timeouts& timeouts)
-    : handler_(handler), timeouts_(timeouts), revision_(revision) {
+                                   EndpointListHandler& handler, const Limits& limits)
+    : handler_(handler), limits_(limits), revision_(revision) {
   current_watch_ = std::make_unique<AddressWatch>(*this, address);
 }
 
--- a/src/discovery/discovery_watcher.h
+++ b/src/discovery/discovery_watcher.h
@@ -31,7 +31,7 @@
 /// held while a thread is joined that may hold `update_mutex_`, so the handler must not call the watcher.
 class DiscoveryWatcher {
  public:
-  struct Timeouts {
+  struct Limits {
     /// Maximum time to establish a connection, and again to send the request.
     net::Steady::duration connect = std::chrono::seconds(1);
     /// Maximum time between two complete lines, after which the connection counts as broken. Discovery sends
@@ -44,17 +44,19 @@
     /// An address that sends only older lists for this long is not behind: its server has restarted, and its
     /// revisions have started anew. The next complete list from the address is accepted then.
     net::Steady::duration stale = std::chrono::seconds(60);
+    /// Maximum length of a line. A longer line counts as an error of the connection.
+    std::size_t max_line_bytes = std::size_t{8} << 20;
   };
 
   /// `revision` is the revision of the list that the caller already has. `handler` must outlive the watcher.
   /// Throws `net::Error` if no thread can be created.
   DiscoveryWatcher(const net::Address& address, std::uint64_t revision, EndpointListHandler& handler)
-      : DiscoveryWatcher(address, revision, handler, Timeouts{}) {}
+      : DiscoveryWatcher(address, revision, handler, Limits{}) {}
   DiscoveryWatcher(const net::Address& address, std::uint64_t revision, EndpointListHandler& handler,
-                   const Timeouts& timeouts);
+                   const Limits& limits);
   ~DiscoveryWatcher();
 
-  /// Watches another address at once. The old address is still read for the time `Timeouts::draining`.
+  /// Watches another address at once. The old address is still read for the time `Limits::draining`.
   void move_to(const net::Address& address);
   /// Requests the complete list on a new connection.
   void refresh();
@@ -70,7 +72,7 @@
   void report_error(const std::string& why);
 
   EndpointListHandler& handler_;
-  const Timeouts timeouts_;
+  const Limits limits_;
 
   // Held while the handler is called, so that the handler receives updates in the order of their revisions.
   mutable std::mutex update_mutex_;
--- a/src/discovery/endpoint_list_update.cpp
+++ b/src/discovery/endpoint_list_update.cpp
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <utility>
 
+#include "json/untrusted_json.h"
 #include "net/socket.h"
 #include "policy/types.h"
 
@@ -66,8 +67,8 @@
 }
 
 json parse_document(std::string_view text) {
-  json document = json::parse(text, nullptr, false);
-  if (document.is_discarded()) throw net::Error("the list is no JSON");
+  json document = json_input::parse_untrusted(text);
+  if (document.is_discarded()) throw net::Error("the list is no JSON, or has too many small values");
   if (!document.is_object()) throw net::Error("the list is not an object");
   return document;
 }
--- a/src/files/generation.cpp
+++ b/src/files/generation.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "json/untrusted_json.h"
 #include "net/socket.h"
 
 namespace ospreypost::files {
@@ -69,7 +70,7 @@
 
 Generation read_generation(std::string_view text) {
   if (text.size() > kMaxBytes) throw net::Error("the generation is longer than 16 MiB");
-  const auto body = json::parse(text, nullptr, false);
+  const auto body = json_input::parse_untrusted<json>(text);
   if (!body.is_object()) throw net::Error("the generation is truncated, or no JSON object");
   Generation generation;
   generation.stamp = {read_count(body, "epoch"), read_count(body, "version")};
--- a/src/files/receiver.cpp
+++ b/src/files/receiver.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "json/untrusted_json.h"
+
 namespace ospreypost::files {
 namespace {
 
@@ -169,7 +171,8 @@
     const auto* end = request.target.data() + request.target.size();
     if (std::from_chars(begin, end, version).ptr != end || begin == end)
       return text_response(400, "the query has no version");
-    const auto excluded = request.body.empty() ? json::array() : json::parse(request.body, nullptr, false);
+    const auto excluded =
+        request.body.empty() ? json::array() : json_input::parse_untrusted<json>(request.body);
     if (!excluded.is_array() ||
         !std::all_of(excluded.begin(), excluded.end(), [](const json& name) { return name.is_string(); }))
       return text_response(400, "the body is not an array of names");
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -156,6 +156,7 @@
     auto& body = parser.get().body();
     std::size_t line_begin = 0;
     for (auto end = body.find('\n'); end != std::string::npos; end = body.find('\n', line_begin)) {
+      if (end - line_begin > max_line_bytes) throw net::Error("a line exceeds the maximum length");
       on_line(std::string_view(body).substr(line_begin, end - line_begin));
       line_begin = end + 1;
       line_deadline = net::Steady::now() + line_timeout;
--- a/src/load_reports/otlp_metrics.cpp
+++ b/src/load_reports/otlp_metrics.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <tuple>
 
+#include "json/untrusted_json.h"
 #include "net/socket.h"
 
 namespace ospreypost::load_reports {
@@ -146,8 +147,9 @@
 }  // namespace
 
 std::vector<MetricsReport> parse_metrics(std::string_view text) {
-  const auto request = json::parse(text, nullptr, false);
-  if (request.is_discarded() || !request.is_object()) throw net::Error("the request is no JSON object");
+  const auto request = json_input::parse_untrusted(text);
+  if (request.is_discarded() || !request.is_object())
+    throw net::Error("the request is no JSON object, or has too many small values");
   std::vector<MetricsReport> reports;
   for (const auto& resource : array_member(request, "resourceMetrics")) {
     auto& report = reports.emplace_back();
--- a/src/platform/platform_config.cpp
+++ b/src/platform/platform_config.cpp
@@ -28,6 +28,10 @@
 constexpr std::size_t kMaxConfigBytes = std::size_t{8} << 20;
 constexpr std::size_t kReadBufferBytes = 16384;
 constexpr std::size_t kMinDescriptors = 64;
+constexpr std::size_t kBytesPerMebibyte = std::size_t{1} << 20;
+constexpr std::size_t kDefaultMemoryMebibytes = 32;
+constexpr double kMinMemoryMebibytes = 16;
+constexpr double kMaxMemoryMebibytes = 1e6;
 constexpr double kMaxBatchIntervalSeconds = 60;
 constexpr double kNanosPerSecond = 1e9;
 constexpr int kMaxRetryMode = 3;
@@ -146,6 +150,17 @@
   return sockets.get<std::size_t>();
 }
 
+std::size_t parse_max_memory(const ObjectReader& document, const std::string& where) {
+  const ObjectReader limits(document.at("limits"), where + ": limits");
+  if (!limits.has("memory_mb")) return kDefaultMemoryMebibytes * kBytesPerMebibyte;
+  const auto& memory = limits.at("memory_mb");
+  const double mebibytes = memory.is_number() ? memory.get<double>() : 0;
+  const bool in_range =
+      mebibytes >= kMinMemoryMebibytes && mebibytes <= kMaxMemoryMebibytes;  // false for NaN
+  if (!in_range) limits.fail("memory_mb", "is not a number from 16 to 1,000,000");
+  return static_cast<std::size_t>(mebibytes * static_cast<double>(kBytesPerMebibyte));
+}
+
 void parse_peers(const ObjectReader& document, PlatformConfig& config) {
   if (!document.has("peer_listen") || !document.has("peers")) return;
   config.peer_listen = document.address("peer_listen");
@@ -199,6 +214,7 @@
   config.discovery = document.address("discovery");
   config.seed = parse_seed(document);
   config.max_descriptors = parse_max_descriptors(document, where);
+  config.max_memory_bytes = parse_max_memory(document, where);
   parse_peers(document, config);
   parse_settings(document, where, config);
   config.cached_endpoint_list = document.at("known").dump();
--- a/src/platform/platform_config.h
+++ b/src/platform/platform_config.h
@@ -24,7 +24,8 @@
   std::vector<net::Address> peers;
   bool gossip_enabled = false;
   std::uint64_t seed = 0;
-  std::size_t max_descriptors = 0;  ///< limit of the process's file descriptors
+  std::size_t max_descriptors = 0;   ///< limit of the process's file descriptors
+  std::size_t max_memory_bytes = 0;  ///< limit of the process's memory
   Settings settings;
 
   // Names of the request classes, zones, hardware kinds and load report columns. The settings refer to each
--- a/src/platform/platform_server.cpp
+++ b/src/platform/platform_server.cpp
@@ -43,6 +43,11 @@
 constexpr Nanos kMinGatherTime = 2ms;
 constexpr Nanos kMaintenanceInterval = 500ms;
 constexpr Nanos kPeerErrorLogInterval = 5s;
+// Maximum length of a line of discovery, as a fraction of the process's memory. A line is held together with
+// up to 12 times its size of parsed values while it is read.
+constexpr std::size_t kMemoryPerDiscoveryLine = 48;
+constexpr std::size_t kMinDiscoveryLineBytes = std::size_t{256} << 10;
+constexpr std::size_t kMaxDiscoveryLineBytes = std::size_t{8} << 20;
 
 Nanos steady_now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 Nanos unix_now() { return std::chrono::system_clock::now().time_since_epoch(); }
@@ -67,8 +72,11 @@
   }
   stream_events_ = std::make_unique<StreamEventRouter>(*driver_, delivery_, peer_errors_);
   streams_ = make_streams();
+  discovery::DiscoveryWatcher::Limits limits;
+  limits.max_line_bytes = std::clamp(config_.max_memory_bytes / kMemoryPerDiscoveryLine,
+                                     kMinDiscoveryLineBytes, kMaxDiscoveryLineBytes);
   discovery_watcher_ = std::make_unique<discovery::DiscoveryWatcher>(config_.discovery, known_revision,
-                                                                     *endpoint_list_intake_);
+                                                                     *endpoint_list_intake_, limits);
   driver_->start([this] { run_maintenance(); }, kMaintenanceInterval);
 }
 
--- a/tests/program/discovery_watcher_test.cpp
+++ b/tests/program/discovery_watcher_test.cpp
@@ -114,8 +114,8 @@
   std::vector<std::uint64_t> revisions_;  // Guarded by `mutex_`.
 };
 
-DiscoveryWatcher::Timeouts timeouts(net::Steady::duration connect, net::Steady::duration idle) {
-  DiscoveryWatcher::Timeouts result;
+DiscoveryWatcher::Limits timeouts(net::Steady::duration connect, net::Steady::duration idle) {
+  DiscoveryWatcher::Limits result;
   result.connect = connect;
   result.idle = idle;
   return result;
@@ -241,6 +241,21 @@
       << "the list of revision 7 must not be accepted";
 }
 
+// Guards against a line that takes more memory than the process has.
+TEST_F(DiscoveryWatcherTest, DropsTheConnectionAtALineAboveTheLimit) {
+  FakeDiscovery discovery;
+  auto limits = timeouts(10s, 10s);
+  const auto accepted = endpoint_list(42, true, endpoint_entry("a"));
+  limits.max_line_bytes = accepted.size() + 1;
+  const DiscoveryWatcher watcher(net::Address::parse(discovery.address()), 41, handler, limits);
+  discovery.next_watch();
+  discovery.send_line(accepted);
+  EXPECT_TRUE(handler.wait_for(42));
+  discovery.send_line(endpoint_list(43, true, endpoint_entry("a") + "," + endpoint_entry("b")));
+  EXPECT_EQ(discovery.next_watch(), "/registry/instances?watch=1&after=42");
+  EXPECT_EQ(handler.revisions(), std::vector<std::uint64_t>{42});
+}
+
 TEST(EndpointListUpdateTest, RejectsTextThatIsNotAList) {
   for (const std::string text : {"", "[]", "{", R"({"revision":-1,"complete":true,"members":[]})",
                                  R"({"revision":1,"members":[]})", R"({"revision":1,"complete":true})"})
--- a/tests/program/platform_config_test.cpp
+++ b/tests/program/platform_config_test.cpp
@@ -37,6 +37,7 @@
   EXPECT_EQ(config.settings.drain_grace, 3s);
   EXPECT_EQ(config.settings.zones, 2U);
   EXPECT_EQ(config.settings.max_messages_per_window, 12U);
+  EXPECT_EQ(config.max_memory_bytes, std::size_t{32} << 20);
   EXPECT_EQ(config.settings.load_columns, std::vector<LoadMetric>{LoadMetric::util});
 }
 
@@ -55,6 +56,15 @@
   }
 }
 
+TEST(PlatformConfigTest, RejectsAnInvalidMemoryLimit) {
+  for (const std::string value : {"-1", "0", "8", "1e300", "\"32\"", "null"}) {
+    auto text = test::platform_config();
+    const std::string valid = "\"memory_mb\":32";
+    text.replace(text.find(valid), valid.size(), "\"memory_mb\":" + value);
+    EXPECT_NE(parse_error(text).find("memory_mb"), std::string::npos) << value;
+  }
+}
+
 TEST(PlatformConfigTest, RejectsInvalidJsonAndAMissingFile) {
   EXPECT_THROW(parse_platform_config("{", "c.json"), config::ConfigError);
   EXPECT_THROW(read_platform_config("/nonexistent"), config::ConfigError);
