A proxy that joins again and again no longer fills the channel with its tables

Cause: each hello bound the proxy anew and counted a set of tables in the channel, whose queue was then full for first tables. Change: a second hello on a stream is dropped and logged; a proxy that joins again keeps its count of messages, so that its first tables cost no more than the message limit allows. Measured: DropsASecondHelloWithTheSameId and AProxyThatJoinsAgainIsSentItsTablesWithinTheLimit fail without the changes (three joins for one; 1,000 messages in 10 s for 12 allowed).

--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -153,6 +153,7 @@
   if (sender.role == PeerRole::collector) throw MessageError("hello from a collector");
   const auto proxy = parse_proxy(fields, names);
   if (sender.proxy && *sender.proxy != proxy) throw MessageError("hello with the id of another proxy");
+  if (sender.proxy) throw MessageError("a second hello on a stream");
   const auto zone = parse_zone(fields, names);
   const double requests_per_second = fields.number("rps", kMaxRequestsPerSecond);
   const bool newly_added = fields.integer("new", 1) == 1;
--- a/src/policy/control_loop.cpp
+++ b/src/policy/control_loop.cpp
@@ -192,7 +192,6 @@
   clock_.advance(now);
   on_proxy_left(proxy);
   assignment_.add_proxy(proxy, membership_.zone_of(zone), usual_requests_per_second, clock_.evidence_time());
-  publisher_.on_proxy_joined(proxy, now);
   bind_unassigned_proxies();
   channel_.request_acknowledgement(now, actions_);
 }
@@ -200,7 +199,6 @@
 void Controller::ControlLoop::on_proxy_left(ProxyId proxy) {
   if (!assignment_.proxies().contains(proxy)) return;
   assignment_.remove_proxy(proxy);
-  publisher_.on_proxy_left(proxy);
   if (assignment_.proxies().empty()) channel_.on_all_proxies_left();
 }
 
--- a/src/policy/message_pacing.cpp
+++ b/src/policy/message_pacing.cpp
@@ -16,11 +16,8 @@
 MessagePacing::MessagePacing(const Settings& settings)
     : limiter_(settings.max_messages_per_window, settings.message_window), min_gap_(limiter_.refill_time()) {}
 
-void MessagePacing::on_proxy_joined(ProxyId proxy, Nanos now) {
-  buckets_.insert_or_assign(proxy, limiter_.full_bucket(now));
-}
-
-/// Returns the proxy's tokens at a time.
+/// Returns the proxy's tokens at a time. A proxy that leaves and joins again keeps its bucket: otherwise a
+/// proxy that joins again and again would fill the channel with its tables.
 double MessagePacing::tokens(ProxyId proxy, Nanos now) {
   const auto bucket = buckets_.try_emplace(proxy, limiter_.full_bucket(now)).first;
   return limiter_.refill(now, bucket->second);
--- a/src/policy/message_pacing.h
+++ b/src/policy/message_pacing.h
@@ -14,7 +14,8 @@
 
 namespace ospreypost::policy {
 
-/// Counts the messages to each proxy in a token bucket, which is full when the proxy joins.
+/// Counts the messages to each proxy in a token bucket, which is full when the proxy joins for the first
+/// time.
 /// - An urgent message to a subset needs one token of each of its proxies.
 /// - A normal message to a subset leaves one token for an urgent one, and follows the previous message to the
 ///   subset after the time in which a bucket gains a token.
@@ -36,8 +37,6 @@
 
   /// Sets the number of subsets, once they are laid out.
   void set_subset_count(std::size_t subsets) { last_messages_.assign(subsets, Nanos{}); }
-  void on_proxy_joined(ProxyId proxy, Nanos now);
-  void on_proxy_left(ProxyId proxy) { buckets_.erase(proxy); }
 
   /// Returns the time between two normal messages to a subset.
   Nanos min_gap() const { return min_gap_; }
--- a/src/policy/table_publisher.h
+++ b/src/policy/table_publisher.h
@@ -45,9 +45,6 @@
   void publish(const WantedState& wanted, ReplicaMap& replicas, const SlowStart& slow_start,
                const SubsetAssignment& assignment, Nanos now);
 
-  /// A proxy joined or left. The limit on messages counts from the joining.
-  void on_proxy_joined(ProxyId proxy, Nanos now) { pacing_.on_proxy_joined(proxy, now); }
-  void on_proxy_left(ProxyId proxy) { pacing_.on_proxy_left(proxy); }
   /// Whether a proxy is bound for the first time, or moves to another subset.
   enum class Binding { joining, migration };
   /// Binds a proxy to all tables of a subset at once.
--- a/tests/policy/message_pacing_test.cpp
+++ b/tests/policy/message_pacing_test.cpp
@@ -35,8 +35,6 @@
   void join(ProxyId proxy) {
     assignment.remove_proxy(proxy);
     assignment.add_proxy(proxy, 0, 10, 0s);
-    pacing.on_proxy_joined(proxy, now);
-    messages_of(proxy).clear();
   }
   void bind(ProxyId proxy, std::size_t subset) {
     const bool is_bound = assignment.proxies().at(proxy).subset.has_value();
@@ -129,6 +127,19 @@
   EXPECT_EQ(fleet.allowance(1), Allowance::all);
 }
 
+// Guards against a proxy that joins again and again and is sent its tables each time, which fills the
+// channel.
+TEST(MessagePacingTest, AProxyThatJoinsAgainIsSentItsTablesWithinTheLimit) {
+  PacedSubsets fleet(12);
+  for (int joins = 0; joins < 1000; ++joins) {
+    fleet.now += 10ms;
+    fleet.join(ProxyId{0});
+    fleet.bind(ProxyId{0}, 0);
+  }
+  EXPECT_LE(fleet.messages_of(ProxyId{0}).size(), 12U);
+  EXPECT_GE(fleet.messages_of(ProxyId{0}).size(), 9U);
+}
+
 TEST(MessagePacingTest, LetsEveryMessagePassWithoutALimit) {
   PacedSubsets fleet(0);
   fleet.bind(ProxyId{0}, 0);
--- a/tests/program/stream_server_test.cpp
+++ b/tests/program/stream_server_test.cpp
@@ -246,6 +246,15 @@
   for (int n = 0; n < kPeers; ++n) EXPECT_TRUE(handler.wait_for("joined " + std::to_string(n)));
 }
 
+// Guards against a proxy that joins again and again on its stream, which costs a set of tables each time.
+TEST_F(StreamServerTest, DropsASecondHelloWithTheSameId) {
+  auto peer = accepted_peer();
+  for (int n = 0; n < 3; ++n) peer.send_hello("3");
+  send_acknowledgement(peer);
+  ASSERT_TRUE(handler.wait_for("acknowledgement"));
+  EXPECT_EQ(handler.events(), (Words{"joined 3", "acknowledgement"}));
+}
+
 // Changes the limit of the process's file descriptors; the destructor restores the previous limit.
 class DescriptorLimit {
  public:
