Streams: connections share the process's memory, and none keeps the others waiting

Cause: each connection might keep 256 KiB of unsent answers and 64 KiB of an unfinished message, whatever the process's memory; up to 16 KiB of messages of each connection were handled in an iteration, with a system call for each answer. Change: a peer with 512 unread answers is closed; the size of a message follows from limits.memory_mb and the connections; 4 KiB are read from a connection in an iteration, and their answers are written together; the memory of read messages is freed.

--- a/src/platform/platform_server.cpp
+++ b/src/platform/platform_server.cpp
@@ -43,6 +43,10 @@
 constexpr Nanos kMinGatherTime = 2ms;
 constexpr Nanos kMaintenanceInterval = 500ms;
 constexpr Nanos kPeerErrorLogInterval = 5s;
+// Maximum size of the messages that all peers send at once, as a fraction of the process's memory.
+constexpr std::size_t kMemoryPerStreamMessages = 8;
+constexpr std::size_t kMinMessageBytes = std::size_t{4} << 10;
+constexpr std::size_t kMaxMessageBytes = std::size_t{64} << 10;
 // Maximum length of a line of discovery, as a fraction of the process's memory. A line is held together with
 // up to 12 times its size of parsed values while it is read.
 constexpr std::size_t kMemoryPerDiscoveryLine = 48;
@@ -136,8 +140,12 @@
 }
 
 std::unique_ptr<StreamServer> PlatformServer::make_streams() {
-  return std::make_unique<StreamServer>(config_.listen, config_.max_descriptors - kOtherDescriptors,
-                                        make_message_names(), *stream_events_);
+  StreamServer::Limits limits;
+  limits.max_connections = config_.max_descriptors - kOtherDescriptors;
+  limits.max_message_bytes =
+      std::clamp(config_.max_memory_bytes / kMemoryPerStreamMessages / limits.max_connections,
+                 kMinMessageBytes, kMaxMessageBytes);
+  return std::make_unique<StreamServer>(config_.listen, limits, make_message_names(), *stream_events_);
 }
 
 MessageNames PlatformServer::make_message_names() const {
--- a/src/platform/stream_server.cpp
+++ b/src/platform/stream_server.cpp
@@ -25,18 +25,19 @@
 constexpr std::uint64_t kListenerKey = 0;
 constexpr int kListenBacklog = 1024;
 constexpr std::size_t kMaxAcceptsPerWakeup = 64;
-constexpr std::size_t kReadBufferBytes = 16384;
+// Maximum number of bytes that are read from one connection before the others have their turn.
+constexpr std::size_t kReadBufferBytes = 4096;
 // Maximum time from the acceptance of a connection until its peer has identified itself; the server closes
 // the connection afterwards.
 constexpr auto kIdentificationTimeout = 1500ms;
 constexpr auto kTimeoutCheckInterval = 100ms;
 // Time for which no connections are accepted after file descriptors were exhausted.
 constexpr auto kAcceptPause = kTimeoutCheckInterval;
-// Maximum size of unsent data at which a liveness request is still answered; a peer that doesn't read its
-// answers is disconnected.
-constexpr std::size_t kMaxUnsentBytes = std::size_t{256} << 10;
+// Maximum number of unsent answers to liveness requests; a peer that doesn't read its answers is
+// disconnected. One read brings fewer requests.
+constexpr std::size_t kMaxUnsentAnswers = 512;
 constexpr resp::MessageLimits kUnidentifiedLimits{std::size_t{4} << 10, 32};
-constexpr resp::MessageLimits kIdentifiedLimits{std::size_t{64} << 10, 64};
+constexpr std::size_t kMaxWords = 64;
 
 bool is_printable(char character) { return character > ' ' && character < 127; }
 
@@ -63,10 +64,10 @@
       : server_(server), connection_(connection) {}
 
   void on_liveness_request() override {
-    std::string answer;
-    resp::write_message(answer, {"alive"});
-    const bool written = connection_.unsent.size() <= kMaxUnsentBytes && server_.write(connection_, answer);
-    if (!written) throw net::Error("the peer does not read its answers");
+    if (connection_.unsent_answers >= kMaxUnsentAnswers)
+      throw net::Error("the peer does not read its answers");
+    connection_.unsent_answers += 1;
+    resp::write_message(connection_.unsent, {"alive"});
   }
   void on_proxy_hello(ProxyId proxy, ZoneId zone, double requests_per_second, bool newly_added) override {
     replace_older_stream(proxy);
@@ -100,7 +101,7 @@
   }
   void identify(const MessageSender& peer) {
     connection_.peer = peer;
-    connection_.reader.set_limits(kIdentifiedLimits);
+    connection_.reader.set_limits({server_.limits_.max_message_bytes, kMaxWords});
     server_.unidentified_.erase(connection_.key);
   }
 
@@ -108,9 +109,9 @@
   Connection& connection_;
 };
 
-StreamServer::StreamServer(const net::Address& listen, std::size_t max_connections, MessageNames names,
+StreamServer::StreamServer(const net::Address& listen, const Limits& limits, MessageNames names,
                            StreamEventHandler& handler)
-    : max_connections_(max_connections),
+    : limits_(limits),
       names_(std::move(names)),
       handler_(handler),
       listener_(net::listen_tcp(listen, kListenBacklog)) {
@@ -167,8 +168,8 @@
       if (n == 0) pause_accepting();
       return;
     }
-    if (connections_.size() >= max_connections_) close_oldest_unidentified();
-    if (connections_.size() < max_connections_) add_connection(std::move(accepted->first));
+    if (connections_.size() >= limits_.max_connections) close_oldest_unidentified();
+    if (connections_.size() < limits_.max_connections) add_connection(std::move(accepted->first));
   }
 }
 
@@ -234,14 +235,8 @@
 // --- Reading
 
 void StreamServer::on_readable(Connection& connection) {
-  std::array<char, kReadBufferBytes> buffer;
   try {
-    const auto size = net::read_now(connection.socket, buffer);
-    if (!size) return;
-    if (*size == 0) return close_connection(connection.key);
-    connection.reader.append({buffer.data(), *size});
-    bool may_have_more = true;
-    while (may_have_more) may_have_more = dispatch_message(connection);
+    read_messages(connection);
   } catch (const resp::ProtocolError& error) {
     reject(connection, error.what());
   } catch (const net::Error&) {
@@ -249,6 +244,23 @@
   }
 }
 
+// Reads once, so that no connection keeps the others waiting, and handles the complete messages. Their
+// answers are written together.
+void StreamServer::read_messages(Connection& connection) {
+  std::array<char, kReadBufferBytes> buffer;
+  const auto size = net::read_now(connection.socket, buffer);
+  if (!size) return;
+  const auto key = connection.key;
+  if (*size == 0) return close_connection(key);
+  connection.reader.append({buffer.data(), *size});
+  bool may_have_more = true;
+  while (may_have_more) may_have_more = dispatch_message(connection);
+  if (!connections_.contains(key)) return;  // a message closed the connection
+  connection.reader.release_read_bytes();
+  const bool has_new_answers = !connection.unsent.empty() && !connection.has_write_interest;
+  if (has_new_answers && !write(connection, {})) close_connection(key);
+}
+
 // Handles one message. Returns false if no complete message is buffered, or if the connection was closed.
 bool StreamServer::dispatch_message(Connection& connection) {
   const auto words = connection.reader.next();
@@ -267,11 +279,9 @@
 }
 
 void StreamServer::reject(Connection& connection, const std::string& reason) {
-  if (connection.peer.role == PeerRole::unidentified) {
-    std::string error;
-    resp::write_message(error, {"error", "why", reason});
-    write(connection, error);
-  }
+  std::string error;
+  if (connection.peer.role == PeerRole::unidentified) resp::write_message(error, {"error", "why", reason});
+  write(connection, error);
   handler_.log_peer_error("closed a connection: " + reason);
   close_connection(connection.key);
 }
@@ -297,6 +307,10 @@
   try {
     connection.unsent.erase(0, net::write_now(connection.socket, connection.unsent));
     const bool has_unsent = !connection.unsent.empty();
+    if (!has_unsent) {
+      connection.unsent = {};
+      connection.unsent_answers = 0;
+    }
     if (has_unsent != connection.has_write_interest)
       poller_.set_write_interest(connection.socket.get(), connection.key, has_unsent);
     connection.has_write_interest = has_unsent;
--- a/src/platform/stream_server.h
+++ b/src/platform/stream_server.h
@@ -45,10 +45,16 @@
 /// Accepts connections, dispatches the received messages, and writes the pending messages.
 class StreamServer {
  public:
-  /// Starts serving on `listen`. `max_connections`: maximum number of open connections; at the maximum, the
-  /// oldest connection that has not identified itself is closed in favour of a new one. Throws `net::Error`
-  /// if the address cannot be bound.
-  StreamServer(const net::Address& listen, std::size_t max_connections, MessageNames names,
+  struct Limits {
+    /// Maximum number of open connections; at the maximum, the oldest connection that has not identified
+    /// itself is closed in favour of a new one.
+    std::size_t max_connections = 0;
+    /// Maximum size of a message that a peer sends. Each connection holds up to twice as much of an
+    /// unfinished one.
+    std::size_t max_message_bytes = std::size_t{64} << 10;
+  };
+  /// Starts serving on `listen`. Throws `net::Error` if the address cannot be bound.
+  StreamServer(const net::Address& listen, const Limits& limits, MessageNames names,
                StreamEventHandler& handler);
   ~StreamServer() { stop(); }
   /// Returns the address where peers connect, with the port that the system chose if `listen` had port 0.
@@ -68,6 +74,7 @@
     // Bytes that the socket has not accepted yet. For a proxy, they contain at most the result of one
     // `next_message` call and the answers to liveness requests.
     std::string unsent;
+    std::size_t unsent_answers = 0;  // answers to liveness requests since `unsent` was last empty
     bool has_write_interest = false;
   };
   class ConnectionMessageHandler;
@@ -85,6 +92,7 @@
   bool is_still_unidentified(std::uint64_t key);
 
   void on_readable(Connection& connection);
+  void read_messages(Connection& connection);
   bool dispatch_message(Connection& connection);
   void reject(Connection& connection, const std::string& reason);
   void close_connection(std::uint64_t key);
@@ -92,7 +100,7 @@
   void write_due_messages();
   bool write(Connection& connection, std::string_view bytes);
 
-  const std::size_t max_connections_;
+  const Limits limits_;
   const MessageNames names_;
   StreamEventHandler& handler_;
   net::Socket listener_;
--- a/src/resp/resp.cpp
+++ b/src/resp/resp.cpp
@@ -58,6 +58,12 @@
   bytes_.append(bytes);
 }
 
+void MessageReader::release_read_bytes() {
+  if (read_bytes_ == 0) return;
+  bytes_ = bytes_.substr(read_bytes_);
+  read_bytes_ = 0;
+}
+
 std::optional<std::vector<std::string_view>> MessageReader::next() {
   const auto unread = std::string_view(bytes_).substr(read_bytes_);
   const auto count = parse_length_line(unread, '*');
--- a/src/resp/resp.h
+++ b/src/resp/resp.h
@@ -36,6 +36,8 @@
   /// Returns the words of the next message, valid until the next call of `append`; empty if the next message
   /// is still incomplete. Throws `ProtocolError` as soon as the bytes cannot be the start of a valid message.
   std::optional<std::vector<std::string_view>> next();
+  /// Frees the memory of the messages that were returned. Invalidates the words that `next` returned.
+  void release_read_bytes();
   /// Returns the number of appended bytes that do not belong to a message returned by `next`.
   std::size_t buffered_bytes() const { return bytes_.size() - read_bytes_; }
 
--- a/tests/program/stream_server_test.cpp
+++ b/tests/program/stream_server_test.cpp
@@ -105,12 +105,15 @@
     handler.resume();
     server->stop();
   }
-  std::unique_ptr<StreamServer> make_server(std::size_t max_connections) {
+  std::unique_ptr<StreamServer> make_server(std::size_t max_connections,
+                                            std::size_t max_message_bytes = 65536) {
     MessageNames names;
     names.classes = {"read"};
     names.zones = {"east"};
     names.proxies = 400;
-    return std::make_unique<StreamServer>(net::Address{"127.0.0.1", 0}, max_connections, names, handler);
+    return std::make_unique<StreamServer>(net::Address{"127.0.0.1", 0},
+                                          StreamServer::Limits{max_connections, max_message_bytes}, names,
+                                          handler);
   }
   void restart_server(std::size_t max_connections) {
     server->stop();
@@ -246,6 +249,74 @@
   for (int n = 0; n < kPeers; ++n) EXPECT_TRUE(handler.wait_for("joined " + std::to_string(n)));
 }
 
+/// Sends `bytes` until the server closes the connection or `most` bytes were sent. Returns whether it was
+/// closed.
+bool send_until_closed(test::Peer& peer, const std::string& bytes, std::size_t most) {
+  try {
+    for (std::size_t sent = 0; sent < most; sent += bytes.size()) peer.send_raw(bytes);
+  } catch (const net::Error&) {
+    return true;
+  }
+  return false;
+}
+
+std::string liveness_requests(std::size_t count) {
+  std::string bytes;
+  for (std::size_t n = 0; n < count; ++n) resp::write_message(bytes, {"probe"});
+  return bytes;
+}
+
+// Guards against peers that make the server keep their unread answers in memory.
+TEST_F(StreamServerTest, ClosesAConnectionWhoseAnswersAreNotRead) {
+  auto peer = accepted_peer();
+  peer.send_hello("3");
+  ASSERT_TRUE(handler.wait_for("joined 3"));
+  // The buffers of both sockets take some megabytes of answers.
+  EXPECT_TRUE(send_until_closed(peer, liveness_requests(1000), std::size_t{64} << 20));
+  EXPECT_TRUE(handler.wait_for("left 3"));
+}
+
+TEST_F(StreamServerTest, AnswersManyLivenessRequestsThatArriveTogether) {
+  constexpr std::size_t kRequests = 5000;
+  auto peer = accepted_peer();
+  peer.send_raw(liveness_requests(kRequests));
+  for (std::size_t n = 0; n < kRequests; ++n) ASSERT_EQ(peer.receive(), Words{"alive"});
+}
+
+// Guards against peers that stop half way through large messages.
+TEST_F(StreamServerTest, ClosesAConnectionWithAMessageAboveTheLimit) {
+  server->stop();
+  server = make_server(40, 8192);
+  auto allowed = accepted_peer();
+  allowed.send_hello("3");
+  allowed.send({"dance", std::string(8000, 'x')});
+  EXPECT_EQ(request_liveness(allowed), Words{"alive"});
+  auto rejected = accepted_peer();
+  rejected.send_hello("4");
+  rejected.send_raw("*2\r\n$5\r\ndance\r\n$8192\r\n");
+  EXPECT_TRUE(rejected.receive().empty());
+}
+
+// Guards against a connection whose messages are all handled before others have their turn.
+TEST_F(StreamServerTest, ReadsAShareOfALongBacklogInEachIteration) {
+  auto busy = accepted_peer();
+  busy.send_hello("3");
+  ASSERT_TRUE(handler.wait_for("joined 3"));
+  auto other = accepted_peer();
+  std::string reports;
+  for (int n = 0; n < 1000; ++n)
+    resp::write_message(reports,
+                        {"demand", "id", "3", "lane", "read", "count", "19", "fail", "0", "over", "1000.0"});
+  handler.pause();
+  busy.send_raw(reports);
+  other.send_hello("4");
+  handler.resume();
+  ASSERT_TRUE(handler.wait_for("joined 4"));
+  const auto events = handler.events();
+  const auto joined = std::find(events.begin(), events.end(), "joined 4");
+  EXPECT_LT(std::count(events.begin(), joined, "demand report"), 80) << "4 KiB of messages in an iteration";
+}
+
 // Guards against a proxy that joins again and again on its stream, which costs a set of tables each time.
 TEST_F(StreamServerTest, DropsASecondHelloWithTheSameId) {
   auto peer = accepted_peer();
