The cache of DNS answers has a limit in bytes

Cause: the cache was limited to 4,096 answers, but each may have a question and an answer of 64 KiB. Change: no more than 4 MiB of questions and answers are kept, and no question above 512 bytes. Measured: StoresNoMoreThanItsLimits fails without the limits in bytes.

--- a/src/dns/answer_cache.cpp
+++ b/src/dns/answer_cache.cpp
@@ -18,10 +18,18 @@
 }
 
 void AnswerCache::insert(std::span<const std::uint8_t> question, bool over_tcp, CachedAnswer cached_answer) {
+  if (question.size() > limits_.max_question_bytes) return;
+  const auto bytes = question.size() + cached_answer.answer.size();
+  if (bytes > limits_.max_bytes) return;
   auto key = key_of(question, over_tcp);
   auto shared = std::make_shared<const CachedAnswer>(std::move(cached_answer));
   const std::lock_guard lock(mutex_);
-  if (entries_.size() >= max_entries_) entries_.clear();
+  if (entries_.size() >= limits_.max_entries || stored_bytes_ + bytes > limits_.max_bytes) {
+    entries_.clear();
+    stored_bytes_ = 0;
+  }
+  // A replaced entry stays counted until the cache is emptied.
+  stored_bytes_ += bytes;
   entries_[std::move(key)] = std::move(shared);
 }
 
--- a/src/dns/answer_cache.h
+++ b/src/dns/answer_cache.h
@@ -29,7 +29,7 @@
   dns::Ttl ttl;
 };
 
-// The cache is bounded: it is emptied before an entry would exceed the maximum. Thread-safe.
+// The cache is bounded: it is emptied before an entry would exceed a limit. Thread-safe.
 class AnswerCache {
  public:
   struct CachedAnswer {
@@ -37,7 +37,12 @@
     AnswerInputs inputs;
     Bytes answer;  // contains the id of the question for which the answer was made
   };
-  explicit AnswerCache(std::size_t max_entries) : max_entries_(max_entries) {}
+  struct Limits {
+    std::size_t max_entries = 4096;
+    std::size_t max_bytes = std::size_t{4} << 20;  // of questions and answers together
+    std::size_t max_question_bytes = 512;          // longer questions are not stored
+  };
+  explicit AnswerCache(const Limits& limits) : limits_(limits) {}
   // Returns the cached answer to the same question, compared without the id; null if no answer is cached.
   std::shared_ptr<const CachedAnswer> find(std::span<const std::uint8_t> question, bool over_tcp);
   void insert(std::span<const std::uint8_t> question, bool over_tcp, CachedAnswer cached_answer);
@@ -45,8 +50,10 @@
  private:
   static std::string key_of(std::span<const std::uint8_t> question, bool over_tcp);
 
-  const std::size_t max_entries_;
+  const Limits limits_;
   std::mutex mutex_;
+  // The following members are guarded by `mutex_`.
+  std::size_t stored_bytes_ = 0;
   std::unordered_map<std::string, std::shared_ptr<const CachedAnswer>> entries_;
 };
 
--- a/src/dns/responder.cpp
+++ b/src/dns/responder.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::size_t kMinQuestionBytes = 12, kMaxTcpBytes = 65535;
-constexpr std::size_t kMaxCachedAnswers = 4096;
 // Minimum TTL of records, in seconds. Negative answers and replica addresses have this TTL, so that clients
 // do not cache them for long.
 constexpr std::uint32_t kMinTtl = 1;
@@ -46,7 +45,7 @@
       max_udp_bytes_(config.dns.max_udp_bytes),
       max_ttl_(static_cast<std::uint32_t>(config.dns.max_ttl.count())),
       pull_service_(pull_service),
-      answer_cache_(kMaxCachedAnswers) {}
+      answer_cache_(AnswerCache::Limits{}) {}
 
 std::optional<Bytes> Responder::answer(std::span<const std::uint8_t> wire, bool over_tcp) {
   if (wire.size() < kMinQuestionBytes) return std::nullopt;
--- a/tests/program/dns_test.cpp
+++ b/tests/program/dns_test.cpp
@@ -175,6 +175,32 @@
   EXPECT_EQ(fixture.ask(kName).code, Code::server_failure);
 }
 
+// Returns an answer of so many bytes.
+AnswerCache::CachedAnswer cached_answer(std::size_t bytes) {
+  return {ProxyTable{}, AnswerInputs(delivery::PullAnswer{}), Bytes(bytes)};
+}
+
+// Guards against clients that ask the same in ever new spellings, or with ever new padding, until the cache
+// fills the memory.
+TEST(AnswerCache, StoresNoMoreThanItsLimits) {
+  AnswerCache cache({100, 10'000, 50});
+  const auto question = [](std::size_t number, std::size_t bytes) {
+    Bytes wire(bytes);
+    wire[2] = static_cast<std::uint8_t>(number);
+    return wire;
+  };
+  cache.insert(question(1, 51), true, cached_answer(10));
+  EXPECT_FALSE(cache.find(question(1, 51), true)) << "a long question";
+  cache.insert(question(1, 50), true, cached_answer(9'951));
+  EXPECT_FALSE(cache.find(question(1, 50), true)) << "an answer above the limit";
+  for (std::size_t number = 0; number < 10; ++number)
+    cache.insert(question(number, 50), true, cached_answer(950));
+  EXPECT_TRUE(cache.find(question(0, 50), true));
+  cache.insert(question(10, 50), true, cached_answer(950));
+  EXPECT_FALSE(cache.find(question(0, 50), true)) << "the cache is emptied at 10,000 bytes";
+  EXPECT_TRUE(cache.find(question(10, 50), true));
+}
+
 TEST(Responder, TruncatesToTheSizeThatTheClientAccepts) {
   TestResponder fixture;
   fixture.pull_service.set_entry_count(12);
