Load reports: few spans are remembered for a replica, and none for replicas that are gone

Cause: each span with a gap before it was remembered for itself, and each replica's name for good. Change: above 96 spans of a subject, the gap between the two oldest counts as reported, so that still nothing is counted twice; subjects without a span of the last minute are forgotten. Measured: RememberFewOfManyShortSpans and ForgetReplicasThatAreGone fail without it (10,000 spans for at most 100 and 300).

--- a/src/load_reports/report_spans.cpp
+++ b/src/load_reports/report_spans.cpp
@@ -9,6 +9,9 @@
 // Number of consecutive reports on another clock, each continuing the one before, after which the sender's
 // clock counts as reset.
 constexpr int kOutliersUntilClockReset = 3;
+/// Maximum number of separate spans that are remembered for a subject. A sender reports adjacent spans, which
+/// are merged; only lost reports leave gaps.
+constexpr std::size_t kMaxSpansPerSubject = 96;
 
 }  // namespace
 
@@ -41,10 +44,11 @@
 SpanVerdict ReportSpans::add(Nanos received, const std::string& subject, Span span) {
   if (span.end <= span.start || span.end - span.start > max_age_) return SpanVerdict::malformed;
   if (!matches_clock(received, span)) return SpanVerdict::too_old;
-  auto& counted = counted_[subject];
   // Spans that ended before the horizon are removed, because no span that overlaps them can be accepted any
   // more.
   const Nanos horizon = received - *min_lag_ - 2 * max_age_;
+  if (counted_.size() >= subjects_until_cleanup_) forget_subjects(horizon);
+  auto& counted = counted_[subject];
   while (!counted.empty() && counted.begin()->second < horizon) counted.erase(counted.begin());
 
   const auto following = counted.lower_bound(span.start);
@@ -61,7 +65,31 @@
     merged->second = next->second;
     counted.erase(next);
   }
+  if (counted.size() > kMaxSpansPerSubject) merge_oldest(counted);
   return SpanVerdict::accepted;
 }
 
+/// Counts the gap between the two oldest spans, too, so that a sender of ever new short spans takes no more
+/// memory.
+void ReportSpans::merge_oldest(std::map<Nanos, Nanos>& counted) {
+  const auto second = std::next(counted.begin());
+  counted.begin()->second = second->second;
+  counted.erase(second);
+}
+
+/// Removes the subjects without a span after the horizon, such as replicas that are gone.
+void ReportSpans::forget_subjects(Nanos horizon) {
+  std::erase_if(counted_, [horizon](const auto& subject) {
+    const auto& spans = subject.second;
+    return spans.empty() || spans.rbegin()->second < horizon;
+  });
+  subjects_until_cleanup_ = std::max(kMinSubjectsUntilCleanup, 2 * counted_.size());
+}
+
+std::size_t ReportSpans::remembered_spans() const {
+  std::size_t spans = 0;
+  for (const auto& [subject, counted] : counted_) spans += counted.size();
+  return spans;
+}
+
 }  // namespace ospreypost::load_reports
--- a/src/load_reports/report_spans.h
+++ b/src/load_reports/report_spans.h
@@ -33,12 +33,18 @@
   /// Checks a span, and remembers the span if it is accepted. `subject` names the replica or request class
   /// that the span was counted for; the spans of different subjects may overlap.
   SpanVerdict add(Nanos received, const std::string& subject, Span span);
+  /// Returns the number of spans that are remembered, of all subjects.
+  std::size_t remembered_spans() const;
   /// Returns by how much the delay of an accepted span exceeds the shortest delay seen from this sender.
   Nanos extra_delay(Nanos received, Span span) const {
     return min_lag_ ? std::max(Nanos{}, received - span.end - *min_lag_) : Nanos{};
   }
 
  private:
+  static constexpr std::size_t kMinSubjectsUntilCleanup = 256;
+
+  static void merge_oldest(std::map<Nanos, Nanos>& counted);
+  void forget_subjects(Nanos horizon);
   // Returns whether the span fits the sender's known clock. Adopts another clock after enough reports on it.
   bool matches_clock(Nanos received, Span span);
 
@@ -52,6 +58,7 @@
   std::optional<Span> last_outlier_;
   // Counted spans by subject, as start and end; the spans of one subject do not overlap.
   std::map<std::string, std::map<Nanos, Nanos>> counted_;
+  std::size_t subjects_until_cleanup_ = kMinSubjectsUntilCleanup;
 };
 
 }  // namespace ospreypost::load_reports
--- a/tests/program/load_reports_test.cpp
+++ b/tests/program/load_reports_test.cpp
@@ -51,6 +51,27 @@
   EXPECT_EQ(spans.add(1045s, "a", {503s, 504s}), SpanVerdict::accepted);
 }
 
+// Guards against a sender whose ever new short spans fill the memory. None of them is counted twice for that.
+TEST(ReportSpans, RememberFewOfManyShortSpans) {
+  load_reports::ReportSpans spans(30s);
+  const auto span = [](int number) { return Span{1000s + number * 10us, 1000s + number * 10us + 1us}; };
+  for (int number = 0; number < 10'000; ++number)
+    ASSERT_EQ(spans.add(1001s, "a", span(number)), SpanVerdict::accepted);
+  EXPECT_LE(spans.remembered_spans(), 100U);
+  for (int number = 0; number < 10'000; ++number)
+    ASSERT_EQ(spans.add(1001s, "a", span(number)), SpanVerdict::repeated);
+}
+
+// Guards against memory that grows with each replica that ever existed.
+TEST(ReportSpans, ForgetReplicasThatAreGone) {
+  load_reports::ReportSpans spans(30s);
+  for (int second = 0; second < 10'000; ++second) {
+    const Nanos end = 1000s + second * 1s;
+    ASSERT_EQ(spans.add(end, "replica " + std::to_string(second), {end - 1s, end}), SpanVerdict::accepted);
+  }
+  EXPECT_LE(spans.remembered_spans(), 300U);
+}
+
 struct RecordingListener : load_reports::LoadReportListener {
   std::optional<ReplicaId> find_replica(std::string_view name) const override {
     if (name == "unit-1") return ReplicaId{4};
