A push or a rollback whose client has left has no effect

Here: of two generations that a sender pushed on one connection of the receiver, the second was stored after the sender had closed the connection, though it might have sent another meanwhile. Cause: requests that had arrived, or waited for a thread, were handled whatever had become of their client. Change: the HTTP server tells handlers whether the client has closed the connection. The receiver ignores pushes and rollbacks of such clients, and an instance their rollbacks. Measured: TellsTheHandlerThatTheClientHasLeft and IgnoresAPushWhoseSenderHasLeft fail without the change.

--- a/src/control_plane/http_api.cpp
+++ b/src/control_plane/http_api.cpp
@@ -82,6 +82,7 @@
 http::Response HttpApi::handle(const http::Request& request) {
   const auto& target = request.target;
   if (request.method == "POST" && target.starts_with(kRollbackPrefix)) {
+    if (request.client_has_left) return text_response(400, "the client has left\n");
     return roll_back(target.substr(kRollbackPrefix.size()));
   }
   if (target == kMetricsTarget) {
--- a/src/files/receiver.cpp
+++ b/src/files/receiver.cpp
@@ -164,6 +164,8 @@
     if (!owner.empty()) store_.renew(epoch, owner);
     return {200, "application/json", write_state(store_.state()), std::nullopt, true};
   }
+  // A push that was given up must not take effect later, when another one may have followed it.
+  if (request.client_has_left) return text_response(400, "the client has left");
   constexpr std::string_view rollback_path = "/rollback?version=";
   if (request.target.starts_with(rollback_path) && request.method == "POST") {
     std::uint64_t version = 0;
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -250,8 +250,9 @@
     for (bool keep_alive = true; keep_alive && !stopping_;) {
       Response response;
       try {
-        const auto request = connection.read_request(limits_);
+        auto request = connection.read_request(limits_);
         if (!request) break;
+        request->client_has_left = net::is_closed_by_peer(connection.socket());
         const net::BusyConnection busy(connection_limiter_, descriptor);
         response = handler_(*request);
         response.keep_alive = response.keep_alive && request->keep_alive;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -131,6 +131,11 @@
 
 bool is_idle(const Socket& socket) { return !wait_for(socket.get(), POLLIN, Steady::now()); }
 
+bool is_closed_by_peer(const Socket& socket) {
+  pollfd polled{socket.get(), POLLRDHUP, 0};
+  return ::poll(&polled, 1, 0) > 0;
+}
+
 void shut_down(int descriptor) { ::shutdown(descriptor, SHUT_RDWR); }
 
 void Socket::reset_on_close() const {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -85,6 +85,8 @@
 bool read_fully(const Socket& socket, std::span<char> buffer, Deadline deadline);
 // Returns whether there is nothing to read at present, neither bytes nor the end of the stream.
 bool is_idle(const Socket& socket);
+// Returns whether the peer has closed its sending side, even if bytes that it sent before are still unread.
+bool is_closed_by_peer(const Socket& socket);
 // Shuts the connection down in both directions, so that a thread that waits on it returns at once.
 void shut_down(int descriptor);
 // Writes all bytes.
--- a/tests/program/files_test.cpp
+++ b/tests/program/files_test.cpp
@@ -266,5 +266,28 @@
   EXPECT_EQ(send("PUT", "/generation", write_generation(generation(2))).status, 507U);
 }
 
+std::string put_request(std::uint64_t version) {
+  const auto body = write_generation(generation(version));
+  return "PUT /generation HTTP/1.1\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Guards against a push that takes effect after its sender has given it up, and may have sent another.
+TEST(Receiver, IgnoresAPushWhoseSenderHasLeft) {
+  TemporaryFolder folder_on_disk;
+  Receiver receiver({{"127.0.0.1", 0}, folder_on_disk.path.string(), 3, true, 10s});
+  const auto newest_version = [&] {
+    const auto answer = http::fetch(receiver.address(), {"GET", "/state", "", "", "", true},
+                                    http::kMaxStatusBytes, net::Steady::now() + 2s);
+    return read_state(answer.body).newest.stamp.version;
+  };
+  {
+    const auto sender = net::connect(receiver.address(), net::Steady::now() + 2s);
+    net::write_fully(sender, put_request(1) + put_request(2), net::Steady::now() + 2s);
+    while (newest_version() != 1) std::this_thread::yield();
+  }
+  std::ofstream(folder_on_disk.path / "applied") << "1 1";  // ends the first push
+  for (int attempts = 0; attempts < 100; ++attempts) ASSERT_EQ(newest_version(), 1U);
+}
+
 }  // namespace
 }  // namespace ospreypost::files
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -41,6 +41,10 @@
       ++blocked;
       changed.notify_all();
       changed.wait(lock, [this] { return unblocked; });
+    } else {
+      const std::lock_guard lock(mutex);
+      last_target = request.target + (request.client_has_left ? " of a client that has left" : "");
+      changed.notify_all();
     }
     return {200, "text/plain", request.method + request.target + request.body, {}, true};
   }
@@ -48,6 +52,12 @@
     std::unique_lock lock(mutex);
     changed.wait(lock, [&] { return blocked >= requests; });
   }
+  // Returns the target of the next request that is not of `/block`.
+  std::string next_after_block() {
+    std::unique_lock lock(mutex);
+    changed.wait_for(lock, 5s, [this] { return !last_target.empty(); });
+    return last_target;
+  }
   void unblock() {
     const std::lock_guard lock(mutex);
     unblocked = true;
@@ -58,6 +68,7 @@
   std::condition_variable changed;
   int blocked = 0;
   bool unblocked = false;
+  std::string last_target;
   Server server;
   std::unique_ptr<Connection> send(const std::string& text) {
     auto connection = std::make_unique<Connection>(net::connect(server.address(), net::Steady::now() + 1s));
@@ -206,6 +217,17 @@
       .status;
 }
 
+// Guards against requests that take effect although their client has left and may have sent them again.
+TEST(Http, TellsTheHandlerThatTheClientHasLeft) {
+  TestServer test_server;
+  {
+    const auto client = test_server.send("POST /block HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\n\r\n");
+    test_server.wait_until_blocked(1);
+  }
+  test_server.unblock();
+  EXPECT_EQ(test_server.next_after_block(), "/b of a client that has left");
+}
+
 // A request that is being handled is never interrupted, so that four of them, as many as one address may have
 // of eight connections, keep further requests of that address out.
 TEST(Http, OneAddressCannotOccupyAllConnections) {
