--- a/src/policy/table_admission.cpp
+++ b/src/policy/table_admission.cpp
@@ -40,9 +40,9 @@
       auto& published = tables_[subset][group];
       const double fraction = wanted.admitted_fraction(subset, group);
       published.is_pending = fraction < published.fraction * (1 - kMinRelativeChange);
-      if (published.is_pending)
-        send(wanted.id(subset, group), {subset, group}, fraction, retry_mode, MessageBatch::Urgency::urgent,
-             batch);
+      if (!published.is_pending) continue;
+      send(wanted.id(subset, group), {subset, group}, fraction, retry_mode, MessageBatch::Urgency::urgent,
+           batch);
     }
   }
 }
--- a/tests/program/stream_server_test.cpp
+++ b/tests/program/stream_server_test.cpp
@@ -304,9 +304,10 @@
   ASSERT_TRUE(handler.wait_for("joined 3"));
   auto other = accepted_peer();
   std::string reports;
-  for (int n = 0; n < 1000; ++n)
+  for (int n = 0; n < 1000; ++n) {
     resp::write_message(reports,
                         {"demand", "id", "3", "lane", "read", "count", "19", "fail", "0", "over", "1000.0"});
+  }
   handler.pause();
   busy.send_raw(reports);
   other.send_hello("4");
