--- a/src/http/http.h
+++ b/src/http/http.h
@@ -21,8 +21,8 @@
   std::string content_type, content_encoding;
   std::string body;
   bool keep_alive = true;
-  // Whether the client had closed the connection when the request was passed to the handler of a server. The client
-  // does not learn whether the request had an effect, and may have sent it again.
+  // Whether the client had closed the connection when the request was passed to the handler of a server. The
+  // client does not learn whether the request had an effect, and may have sent it again.
   bool client_has_left = false;
 };
 
