--- a/src/platform/stream_server.cpp
+++ b/src/platform/stream_server.cpp
@@ -168,7 +168,7 @@
       if (n == 0) pause_accepting();
       return;
     }
-    if (connections_.size() >= limits_.max_connections) close_oldest_unidentified();
+    if (connections_.size() >= limits_.max_connections) close_least_needed();
     if (connections_.size() < limits_.max_connections) add_connection(std::move(accepted->first));
   }
 }
@@ -176,7 +176,7 @@
 // Without the pause, the poller would report the listener as ready again at once, and the thread would loop
 // without waiting for as long as descriptors are exhausted.
 void StreamServer::pause_accepting() {
-  close_oldest_unidentified();
+  close_least_needed();
   resume_accepting_at_ = net::Steady::now() + kAcceptPause;
   poller_.set_read_interest(listener_.get(), kListenerKey, false);
 }
@@ -188,10 +188,34 @@
   connection.socket = std::move(socket);
   connection.reader.set_limits(kUnidentifiedLimits);
   connection.accepted_at = net::Steady::now();
+  connection.last_received_at = connection.accepted_at;
   unidentified_.insert(key);
   poller_.add(connection.socket.get(), key);
 }
 
+// Makes room for a new connection, if any connection may be closed for it.
+void StreamServer::close_least_needed() {
+  const auto connections_before = connections_.size();
+  close_oldest_unidentified();
+  if (connections_.size() == connections_before) close_longest_silent_collector();
+}
+
+// Collectors whose machines vanished leave connections that stay open. Without this, these connections would
+// take all places in the end.
+void StreamServer::close_longest_silent_collector() {
+  auto longest = connections_.end();
+  for (auto each = connections_.begin(); each != connections_.end(); ++each) {
+    if (each->second.peer.role != PeerRole::collector) continue;
+    const bool is_longer =
+        longest == connections_.end() || each->second.last_received_at < longest->second.last_received_at;
+    if (is_longer) longest = each;
+  }
+  if (longest == connections_.end()) return;
+  if (net::Steady::now() - longest->second.last_received_at < limits_.min_collector_silence) return;
+  handler_.log_peer_error("closed the connection of a silent collector in favour of a new one");
+  close_connection(longest->first);
+}
+
 // Closes the oldest connection that has not identified itself, so that a flood of connections cannot prevent
 // proxies from connecting. Connections that have identified themselves are not closed, nor are those whose
 // hello has arrived but has not been read.
@@ -252,6 +276,7 @@
   if (!size) return;
   const auto key = connection.key;
   if (*size == 0) return close_connection(key);
+  connection.last_received_at = net::Steady::now();
   connection.reader.append({buffer.data(), *size});
   bool may_have_more = true;
   while (may_have_more) may_have_more = dispatch_message(connection);
--- a/src/platform/stream_server.h
+++ b/src/platform/stream_server.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -47,8 +48,11 @@
  public:
   struct Limits {
     /// Maximum number of open connections; at the maximum, the oldest connection that has not identified
-    /// itself is closed in favour of a new one.
+    /// itself is closed in favour of a new one, or else that of the collector which has been silent longest.
     std::size_t max_connections = 0;
+    /// Time of silence after which a collector's connection may be closed for that. A collector reports every
+    /// few seconds, and a machine that vanishes leaves its connection open.
+    net::Steady::duration min_collector_silence = std::chrono::seconds(5);
     /// Maximum size of a message that a peer sends. Each connection holds up to twice as much of an
     /// unfinished one.
     std::size_t max_message_bytes = std::size_t{64} << 10;
@@ -71,6 +75,7 @@
     resp::MessageReader reader;
     MessageSender peer;
     net::Deadline accepted_at;
+    net::Deadline last_received_at;
     // Bytes that the socket has not accepted yet. For a proxy, they contain at most the result of one
     // `next_message` call and the answers to liveness requests.
     std::string unsent;
@@ -87,7 +92,9 @@
   void accept_connections();
   void pause_accepting();
   void add_connection(net::Socket socket);
+  void close_least_needed();
   void close_oldest_unidentified();
+  void close_longest_silent_collector();
   void close_overdue_connections();
   bool is_still_unidentified(std::uint64_t key);
 
--- a/tests/program/stream_server_test.cpp
+++ b/tests/program/stream_server_test.cpp
@@ -111,9 +111,9 @@
     names.classes = {"read"};
     names.zones = {"east"};
     names.proxies = 400;
-    return std::make_unique<StreamServer>(net::Address{"127.0.0.1", 0},
-                                          StreamServer::Limits{max_connections, max_message_bytes}, names,
-                                          handler);
+    return std::make_unique<StreamServer>(
+        net::Address{"127.0.0.1", 0},
+        StreamServer::Limits{max_connections, collector_silence, max_message_bytes}, names, handler);
   }
   void restart_server(std::size_t max_connections) {
     server->stop();
@@ -132,6 +132,7 @@
     peer.send({"demand", "id", "3", "lane", "read", "count", "19", "fail", "0", "over", "1000.0"});
   }
 
+  net::Steady::duration collector_silence = 1h;
   PausingHandler handler;
   std::unique_ptr<StreamServer> server = make_server(40);
 };
@@ -249,6 +250,38 @@
   for (int n = 0; n < kPeers; ++n) EXPECT_TRUE(handler.wait_for("joined " + std::to_string(n)));
 }
 
+test::Peer collector_at(const net::Address& address) {
+  test::Peer peer(address);
+  peer.send({"agent", "site", "east"});
+  EXPECT_EQ(request_liveness(peer), Words{"alive"});
+  return peer;
+}
+
+// Guards against connections of collectors whose machines vanished, which take all places in the end (review
+// case 3).
+TEST_F(StreamServerTest, ClosesTheLongestSilentCollectorForANewConnection) {
+  collector_silence = 0s;
+  restart_server(3);
+  auto proxy = accepted_peer();
+  proxy.send_hello("3");
+  ASSERT_TRUE(handler.wait_for("joined 3"));
+  auto silent = collector_at(server->address());
+  auto reporting = collector_at(server->address());
+  test::Peer newcomer(server->address());
+  EXPECT_EQ(request_liveness(newcomer), Words{"alive"});
+  EXPECT_TRUE(silent.receive().empty());
+  EXPECT_EQ(request_liveness(reporting), Words{"alive"});
+  EXPECT_EQ(request_liveness(proxy), Words{"alive"}) << "proxies may be silent";
+}
+
+TEST_F(StreamServerTest, KeepsCollectorsThatReportedLately) {
+  restart_server(1);
+  auto collector = collector_at(server->address());
+  test::Peer newcomer(server->address());
+  EXPECT_TRUE(newcomer.receive().empty());
+  EXPECT_EQ(request_liveness(collector), Words{"alive"});
+}
+
 /// Sends `bytes` until the server closes the connection or `most` bytes were sent. Returns whether it was
 /// closed.
 bool send_until_closed(test::Peer& peer, const std::string& bytes, std::size_t most) {
