--- a/src/dns/answer_cache.cpp
+++ b/src/dns/answer_cache.cpp
@@ -3,9 +3,9 @@
 namespace ospreypost::dns {
 
 std::string AnswerCache::key_of(std::span<const std::uint8_t> question, bool over_tcp) {
-  constexpr std::size_t id_bytes = 2;
+  constexpr std::size_t kIdBytes = 2;
   std::string key(1, over_tcp ? 't' : 'u');
-  key.append(reinterpret_cast<const char*>(question.data()) + id_bytes, question.size() - id_bytes);
+  key.append(reinterpret_cast<const char*>(question.data()) + kIdBytes, question.size() - kIdBytes);
   return key;
 }
 
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -32,6 +32,21 @@
     throw RequestRejected(431, "a chunk's size line or the trailers are too long");
 }
 
+// Calls `on_line` with each complete line at the start of `text`, and removes these lines. Returns whether
+// there was one. Throws if a line, complete or not, is too long.
+bool take_lines(std::string& text, std::size_t max_line_bytes,
+                const std::function<void(std::string_view)>& on_line) {
+  std::size_t line_begin = 0;
+  for (auto end = text.find('\n'); end != std::string::npos; end = text.find('\n', line_begin)) {
+    if (end - line_begin > max_line_bytes) throw net::Error("a line exceeds the maximum length");
+    on_line(std::string_view(text).substr(line_begin, end - line_begin));
+    line_begin = end + 1;
+  }
+  text.erase(0, line_begin);
+  if (text.size() > max_line_bytes) throw net::Error("a line exceeds the maximum length");
+  return line_begin > 0;
+}
+
 template <typename Message>
 std::string to_text(const Message& message) {
   std::ostringstream text;
@@ -65,7 +80,6 @@
 template <typename Parser>
 bool Connection::read_into(Parser& parser, std::size_t max_header_bytes, net::Deadline first_byte_deadline,
                            net::Steady::duration message_timeout) {
-  std::array<char, kReadBufferBytes> buffer{};
   auto deadline = first_byte_deadline;
   bool message_started = false;
   for (;;) {
@@ -77,22 +91,26 @@
       if (parse_received(parser)) return true;
       check_unparsed(unparsed_.size(), max_header_bytes);
     }
-    std::size_t received = 0;
-    try {
-      received = net::read_some(socket_, buffer, deadline, cancellation_);
-    } catch (const net::Error& error) {
-      if (message_started && net::Steady::now() >= deadline)
-        throw RequestRejected(408, "the message did not arrive in time");
-      throw;
-    }
-    if (received == 0) {
-      if (!message_started) return false;
-      boost::system::error_code error;
-      parser.put_eof(error);
-      if (!error && parser.is_done()) return true;
-      throw net::Error("the stream ended in the middle of a message");
-    }
+    const bool has_ended = !receive(deadline, message_started);
+    if (!has_ended) continue;
+    if (!message_started) return false;
+    boost::system::error_code error;
+    parser.put_eof(error);
+    if (!error && parser.is_done()) return true;
+    throw net::Error("the stream ended in the middle of a message");
+  }
+}
+
+// Reads bytes of a message. Returns false at the end of the stream.
+bool Connection::receive(net::Deadline deadline, bool message_started) {
+  std::array<char, kReadBufferBytes> buffer{};
+  try {
+    const auto received = net::read_some(socket_, buffer, deadline, cancellation_);
     unparsed_.append(buffer.data(), received);
+    return received > 0;
+  } catch (const net::Error&) {
+    if (!message_started || net::Steady::now() < deadline) throw;
+    throw RequestRejected(408, "the message did not arrive in time");
   }
 }
 
@@ -155,16 +173,8 @@
     if (!parser.is_header_done()) continue;
     if (parser.get().result_int() != 200)
       throw net::Error("expected status 200, received " + std::to_string(parser.get().result_int()));
-    auto& body = parser.get().body();
-    std::size_t line_begin = 0;
-    for (auto end = body.find('\n'); end != std::string::npos; end = body.find('\n', line_begin)) {
-      if (end - line_begin > max_line_bytes) throw net::Error("a line exceeds the maximum length");
-      on_line(std::string_view(body).substr(line_begin, end - line_begin));
-      line_begin = end + 1;
+    if (take_lines(parser.get().body(), max_line_bytes, on_line))
       line_deadline = net::Steady::now() + line_timeout;
-    }
-    body.erase(0, line_begin);
-    if (body.size() > max_line_bytes) throw net::Error("a line exceeds the maximum length");
   }
 }
 
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -81,6 +81,7 @@
   bool is_open() const;
 
  private:
+  bool receive(net::Deadline deadline, bool message_started);
   template <typename Parser>
   bool parse_received(Parser& parser);
   template <typename Parser>
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -28,17 +28,17 @@
 RawAddress to_raw_address(const Address& address) {
   RawAddress result;
   if (address.is_v6()) {
-    auto& v6 = reinterpret_cast<sockaddr_in6&>(result.storage);
-    v6.sin6_family = AF_INET6;
-    v6.sin6_port = htons(address.port);
-    if (inet_pton(AF_INET6, address.host.c_str(), &v6.sin6_addr) != 1)
+    auto& address_v6 = reinterpret_cast<sockaddr_in6&>(result.storage);
+    address_v6.sin6_family = AF_INET6;
+    address_v6.sin6_port = htons(address.port);
+    if (inet_pton(AF_INET6, address.host.c_str(), &address_v6.sin6_addr) != 1)
       throw Error(address.host + " is not an IP address");
     result.size = sizeof(sockaddr_in6);
   } else {
-    auto& v4 = reinterpret_cast<sockaddr_in&>(result.storage);
-    v4.sin_family = AF_INET;
-    v4.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.host.c_str(), &v4.sin_addr) != 1)
+    auto& address_v4 = reinterpret_cast<sockaddr_in&>(result.storage);
+    address_v4.sin_family = AF_INET;
+    address_v4.sin_port = htons(address.port);
+    if (inet_pton(AF_INET, address.host.c_str(), &address_v4.sin_addr) != 1)
       throw Error(address.host + " is not an IP address");
     result.size = sizeof(sockaddr_in);
   }
@@ -48,13 +48,13 @@
 Address to_address(const RawAddress& raw_address) {
   char text[INET6_ADDRSTRLEN] = {};
   if (raw_address.storage.ss_family == AF_INET6) {
-    const auto& v6 = reinterpret_cast<const sockaddr_in6&>(raw_address.storage);
-    inet_ntop(AF_INET6, &v6.sin6_addr, text, sizeof(text));
-    return {text, ntohs(v6.sin6_port)};
+    const auto& address_v6 = reinterpret_cast<const sockaddr_in6&>(raw_address.storage);
+    inet_ntop(AF_INET6, &address_v6.sin6_addr, text, sizeof(text));
+    return {text, ntohs(address_v6.sin6_port)};
   }
-  const auto& v4 = reinterpret_cast<const sockaddr_in&>(raw_address.storage);
-  inet_ntop(AF_INET, &v4.sin_addr, text, sizeof(text));
-  return {text, ntohs(v4.sin_port)};
+  const auto& address_v4 = reinterpret_cast<const sockaddr_in&>(raw_address.storage);
+  inet_ntop(AF_INET, &address_v4.sin_addr, text, sizeof(text));
+  return {text, ntohs(address_v4.sin_port)};
 }
 
 [[noreturn]] void throw_system_error(const std::string& context) {
--- a/src/net/threads.cpp
+++ b/src/net/threads.cpp
@@ -50,9 +50,10 @@
                        std::size_t stack_bytes)
     : max_queued_jobs_(max_queued_jobs) {
   try {
-    for (std::size_t index = 0; index < threads; ++index)
+    for (std::size_t index = 0; index < threads; ++index) {
       threads_.emplace_back(
           name, [this] { run_jobs(); }, stack_bytes);
+    }
   } catch (...) {
     // Stops the threads that were created; otherwise joining them would wait forever.
     stop();
--- a/src/net/threads.h
+++ b/src/net/threads.h
@@ -13,7 +13,7 @@
 
 namespace ospreypost::net {
 
-inline constexpr std::size_t kSmallStack = 256 * 1024;  // Default stack size in bytes.
+inline constexpr std::size_t kSmallStack = std::size_t{256} * 1024;  // Default stack size in bytes.
 
 // A thread that is joined when its owner destroys this object, if join() was not called before.
 class Thread {
